--- /dev/null
+++ b/src/wasabiloom/base/Time.h
@@ -0,0 +1,24 @@
+/// Time as the core sees it: a monotonic instant handed in by its driver.
+#pragma once
+
+#include <chrono>
+
+namespace wasabiloom::base {
+
+/// Tag of the driver's monotonic clock; has no now(), by intent.
+struct MonotonicClock
+{
+  using rep = std::chrono::nanoseconds::rep;
+  using period = std::chrono::nanoseconds::period;
+  using duration = std::chrono::nanoseconds;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+};
+
+/// Span of time in nanoseconds.
+using Duration = std::chrono::nanoseconds;
+
+/// Point on the driver's monotonic clock.
+using Instant = MonotonicClock::time_point;
+
+} // namespace wasabiloom::base
--- /dev/null
+++ b/src/wasabiloom/core/ServiceRuntime.cpp
@@ -0,0 +1,141 @@
+#include "wasabiloom/core/ServiceRuntime.h"
+
+#include <algorithm>
+
+namespace wasabiloom::core {
+
+namespace {
+
+std::string
+StateName(const steering::TargetInfo& aTarget)
+{
+  if (!aTarget.m_known) {
+    return "unknown";
+  }
+  if (!aTarget.m_takesPackets) {
+    return "closed";
+  }
+  return aTarget.m_takesNew ? "active" : "draining";
+}
+
+std::string
+VersionText(const steering::TableVersion& aVersion)
+{
+  return std::to_string(aVersion.m_term) + "." +
+         std::to_string(aVersion.m_sequence);
+}
+
+} // namespace
+
+ServiceRuntime::ServiceRuntime(const bundle::Service& aService,
+                               const peer::HostView& aView,
+                               peer::Outbox& aOutbox,
+                               request::RequestSink& aSink)
+  : m_service(aService)
+  , m_requests(aService.m_name, m_directory, aSink)
+{
+  const auto service = steering::MakeServiceId(aService.m_name);
+  for (std::size_t shard = 0; shard < steering::kShardsPerService; ++shard) {
+    const steering::ShardKey key{ service, static_cast<std::uint8_t>(shard) };
+    m_shards.push_back(
+      std::make_unique<steering::ShardAgent>(key, m_directory, aView, aOutbox));
+  }
+}
+
+void
+ServiceRuntime::Adopt(const bundle::Bundle& aBundle,
+                      const bundle::Service& aService)
+{
+  m_service = aService;
+  m_directory.Adopt(aBundle, aService);
+  for (const auto& shard : m_shards) {
+    shard->OnDirectoryChanged();
+  }
+}
+
+void
+ServiceRuntime::SetLeaving(const std::vector<std::string>& aNames)
+{
+  m_directory.SetLeaving(aNames);
+  for (const auto& shard : m_shards) {
+    shard->OnDirectoryChanged();
+  }
+}
+
+void
+ServiceRuntime::Tick(bool aMayCreate,
+                     std::uint64_t aBundleVersion,
+                     base::Instant aNow)
+{
+  if (!UsesTables()) {
+    m_requests.Tick(aNow);
+    return;
+  }
+  for (const auto& shard : m_shards) {
+    shard->Tick(aMayCreate, aBundleVersion, aNow);
+  }
+}
+
+bool
+ServiceRuntime::HasTables() const
+{
+  return !UsesTables() || std::ranges::all_of(m_shards, [](const auto& aShard) {
+    return aShard->State().m_hasTable;
+  });
+}
+
+void
+ServiceRuntime::ForgetTables()
+{
+  for (const auto& shard : m_shards) {
+    shard->ForgetTable();
+  }
+}
+
+bool
+ServiceRuntime::IsBusy() const
+{
+  return std::ranges::any_of(
+    m_shards, [](const auto& aShard) { return aShard->IsBusy(); });
+}
+
+std::size_t
+ServiceRuntime::FlowCount() const
+{
+  std::size_t count = 0;
+  for (const auto& shard : m_shards) {
+    count += shard->State().m_flows.Size();
+  }
+  return count;
+}
+
+ServiceStatus
+ServiceRuntime::Status() const
+{
+  ServiceStatus status;
+  status.m_name = m_service.m_name;
+  for (std::size_t slot = 0; slot < m_directory.Size(); ++slot) {
+    const auto& info = m_directory.At(static_cast<steering::TargetSlot>(slot));
+    status.m_targets.push_back({ info.m_name, StateName(info), 0, 0 });
+  }
+  steering::TableVersion newest;
+  for (const auto& shard : m_shards) {
+    const steering::ShardState& state = shard->State();
+    newest = std::max(newest, state.m_table.Version());
+    status.m_pinnedFlows += state.m_table.Pinned().Size();
+    status.m_movingRows += state.m_window ? state.m_window->m_rows.count() : 0;
+    state.m_flows.ForEach([&](const steering::FlowTable::Entry& aEntry) {
+      ++status.m_targets[aEntry.m_slot].m_flows;
+    });
+    for (std::size_t row = 0; row < steering::kRowsPerShard; ++row) {
+      const steering::TargetSlot slot = state.m_table.RowTarget(row);
+      if (slot != steering::kNoSlot) {
+        ++status.m_targets[slot].m_rows;
+      }
+    }
+  }
+  status.m_tableVersion = VersionText(newest);
+  return status;
+}
+
+} // namespace wasabiloom::core
--- /dev/null
+++ b/src/wasabiloom/core/ServiceRuntime.h
@@ -0,0 +1,66 @@
+/// One service as it runs on this host.
+#pragma once
+
+#include "wasabiloom/bundle/Bundle.h"
+#include "wasabiloom/core/Status.h"
+#include "wasabiloom/request/RequestHome.h"
+#include "wasabiloom/steering/ShardAgent.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace wasabiloom::core {
+
+/// Directory, shards and requests of one service. One thread at a time.
+class ServiceRuntime
+{
+public:
+  /// The references must outlive the runtime.
+  ServiceRuntime(const bundle::Service& aService,
+                 const peer::HostView& aView,
+                 peer::Outbox& aOutbox,
+                 request::RequestSink& aSink);
+
+  /// Adopts the service's part of a bundle. Precondition: same name.
+  void Adopt(const bundle::Bundle& aBundle, const bundle::Service& aService);
+
+  /// Names of backend servers that the host list calls leaving.
+  void SetLeaving(const std::vector<std::string>& aNames);
+
+  /// Drives table changes and requests.
+  void Tick(bool aMayCreate, std::uint64_t aBundleVersion, base::Instant aNow);
+
+  /// Whether every shard has a table. True for services in request mode.
+  bool HasTables() const;
+
+  /// Drops the tables, to be fetched anew.
+  void ForgetTables();
+
+  /// Whether a change started by this host is under way.
+  bool IsBusy() const;
+
+  steering::ShardAgent& Shard(std::uint8_t aShard) { return *m_shards[aShard]; }
+  steering::TargetDirectory& Directory() { return m_directory; }
+  request::RequestHome& Requests() { return m_requests; }
+  const request::RequestHome& Requests() const { return m_requests; }
+  const bundle::Service& Service() const { return m_service; }
+
+  /// Flows this host has seen and not forgotten.
+  std::size_t FlowCount() const;
+
+  ServiceStatus Status() const;
+
+private:
+  bool UsesTables() const
+  {
+    return m_service.m_mode == bundle::ServiceMode::Connections;
+  }
+
+  bundle::Service m_service;
+  steering::TargetDirectory m_directory;
+  std::vector<std::unique_ptr<steering::ShardAgent>> m_shards;
+  request::RequestHome m_requests;
+};
+
+} // namespace wasabiloom::core
--- /dev/null
+++ b/src/wasabiloom/daemon/SignalWatch.cpp
@@ -0,0 +1,52 @@
+#include "wasabiloom/daemon/SignalWatch.h"
+
+#include <csignal>
+#include <cstdlib>
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace wasabiloom::daemon {
+
+namespace {
+
+constexpr int kForcedExit = 130;
+
+} // namespace
+
+SignalWatch::SignalWatch(std::function<void()> aOnStop)
+  : m_onStop(std::move(aOnStop))
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+  m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
+  m_notifier =
+    std::make_unique<QSocketNotifier>(m_descriptor, QSocketNotifier::Read);
+  connect(m_notifier.get(), &QSocketNotifier::activated, this, [this] {
+    OnReadable();
+  });
+}
+
+SignalWatch::~SignalWatch()
+{
+  m_notifier.reset();
+  close(m_descriptor);
+}
+
+void
+SignalWatch::OnReadable()
+{
+  signalfd_siginfo info{};
+  while (read(m_descriptor, &info, sizeof(info)) == sizeof(info)) {
+    if (m_stopping) {
+      std::_Exit(kForcedExit);
+    }
+    m_stopping = true;
+    m_onStop();
+  }
+}
+
+} // namespace wasabiloom::daemon
--- /dev/null
+++ b/src/wasabiloom/daemon/SignalWatch.h
@@ -0,0 +1,29 @@
+/// Turns SIGTERM and SIGINT into calls on the Qt event loop.
+#pragma once
+
+#include <QObject>
+#include <QSocketNotifier>
+
+#include <functional>
+#include <memory>
+
+namespace wasabiloom::daemon {
+
+/// Calls `aOnStop` at the first signal and ends the process at the second.
+/// Create it on the main thread, before other threads start.
+class SignalWatch final : public QObject
+{
+public:
+  explicit SignalWatch(std::function<void()> aOnStop);
+  ~SignalWatch() override;
+
+private:
+  void OnReadable();
+
+  std::function<void()> m_onStop;
+  int m_descriptor = -1;
+  bool m_stopping = false;
+  std::unique_ptr<QSocketNotifier> m_notifier;
+};
+
+} // namespace wasabiloom::daemon
--- /dev/null
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -0,0 +1,272 @@
+#include "wasabiloom/peer/Membership.h"
+
+#include <algorithm>
+
+namespace wasabiloom::peer {
+
+namespace {
+
+base::HostId
+BestOf(const std::vector<base::HostId>& aCandidates,
+       std::uint64_t aHash,
+       base::HostId aExcept)
+{
+  base::HostId best;
+  std::uint64_t bestScore = 0;
+  for (const base::HostId host : aCandidates) {
+    const std::uint64_t score = base::Combine(aHash, host.m_value);
+    if (host != aExcept && (best.m_value == 0 || score > bestScore)) {
+      best = host;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+Membership::Membership(base::HostId aSelf, Outbox& aOutbox)
+  : m_self(aSelf)
+  , m_outbox(aOutbox)
+{
+  Refresh();
+}
+
+bool
+Membership::IsLive(base::HostId aHost) const
+{
+  if (aHost == m_self) {
+    return true;
+  }
+  const auto found = m_peers.find(aHost);
+  return found != m_peers.end() && found->second.m_live;
+}
+
+const std::vector<base::HostId>&
+Membership::LivePeers() const
+{
+  return m_live;
+}
+
+base::HostId
+Membership::OwnerOf(std::uint64_t aHash) const
+{
+  return BestOf(m_candidates, aHash, base::HostId{});
+}
+
+base::HostId
+Membership::BackupOf(std::uint64_t aHash) const
+{
+  const base::HostId best = BestOf(m_candidates, aHash, m_self);
+  return best.m_value == 0 ? m_self : best;
+}
+
+std::vector<base::HostId>
+Membership::Candidates() const
+{
+  for (const HostPhase wanted :
+       { HostPhase::Ready, HostPhase::Joining, HostPhase::Leaving }) {
+    std::vector<base::HostId> found;
+    if (m_phase == wanted) {
+      found.push_back(m_self);
+    }
+    for (const auto& [host, peer] : m_peers) {
+      if (peer.m_live && peer.m_phase == wanted) {
+        found.push_back(host);
+      }
+    }
+    if (!found.empty()) {
+      return found;
+    }
+  }
+  return { m_self };
+}
+
+void
+Membership::Refresh()
+{
+  m_live.clear();
+  for (const auto& [host, peer] : m_peers) {
+    if (peer.m_live) {
+      m_live.push_back(host);
+    }
+  }
+  m_candidates = Candidates();
+  ++m_generation;
+}
+
+void
+Membership::SetPeers(const std::vector<PeerAddress>& aPeers, base::Instant aNow)
+{
+  for (auto& [host, peer] : m_peers) {
+    peer.m_listed = false;
+  }
+  for (const PeerAddress& address : aPeers) {
+    const base::HostId host = base::MakeHostId(address.m_name);
+    if (host != m_self) {
+      m_peers[host].m_address = address;
+      m_peers[host].m_listed = true;
+    }
+  }
+  std::erase_if(m_peers, [](const auto& aItem) {
+    return !aItem.second.m_listed && !aItem.second.m_live;
+  });
+  if (!m_hasList) {
+    m_hasList = true;
+    m_listenSince = aNow;
+  }
+  Refresh();
+}
+
+bool
+Membership::Hear(base::HostId aFrom,
+                 std::uint64_t aIncarnation,
+                 base::Instant aNow)
+{
+  const auto found = m_peers.find(aFrom);
+  if (found == m_peers.end() || aIncarnation < found->second.m_incarnation) {
+    return false;
+  }
+  Peer& peer = found->second;
+  if (aIncarnation > peer.m_incarnation) {
+    peer.m_incarnation = aIncarnation;
+    peer.m_phase = HostPhase::Joining;
+    peer.m_hearsMe = false;
+    peer.m_bundleVersion = 0;
+    peer.m_live = false;
+  }
+  peer.m_heardAt = aNow;
+  if (!peer.m_live && peer.m_phase != HostPhase::Left) {
+    peer.m_live = true;
+    Refresh();
+  }
+  return true;
+}
+
+void
+Membership::OnHeartbeat(base::HostId aFrom, const Heartbeat& aHeartbeat)
+{
+  Peer& peer = m_peers.at(aFrom);
+  peer.m_bundleVersion = aHeartbeat.m_bundleVersion;
+  peer.m_hearsMe =
+    std::ranges::find(aHeartbeat.m_hears, m_self) != aHeartbeat.m_hears.end();
+  if (peer.m_phase == aHeartbeat.m_phase) {
+    return;
+  }
+  peer.m_phase = aHeartbeat.m_phase;
+  peer.m_live = peer.m_phase != HostPhase::Left;
+  Refresh();
+}
+
+void
+Membership::Tick(const KnownVersions& aVersions, base::Instant aNow)
+{
+  DropSilent(aNow);
+  if (aNow - m_sentAt >= kHeartbeatInterval) {
+    m_sentAt = aNow;
+    SendHeartbeats(aVersions);
+  }
+}
+
+void
+Membership::DropSilent(base::Instant aNow)
+{
+  bool changed = false;
+  for (auto& [host, peer] : m_peers) {
+    if (peer.m_live && aNow - peer.m_heardAt > kPeerTimeout) {
+      peer.m_live = false;
+      peer.m_hearsMe = false;
+      changed = true;
+    }
+  }
+  if (changed) {
+    Refresh();
+  }
+}
+
+void
+Membership::SendHeartbeats(const KnownVersions& aVersions)
+{
+  Heartbeat heartbeat;
+  heartbeat.m_phase = m_phase;
+  heartbeat.m_bundleVersion = aVersions.m_bundle;
+  heartbeat.m_listRevision = aVersions.m_list;
+  heartbeat.m_hears = m_live;
+  for (const auto& [host, peer] : m_peers) {
+    m_outbox.Send(host, heartbeat);
+  }
+}
+
+void
+Membership::SetPhase(HostPhase aPhase,
+                     const KnownVersions& aVersions,
+                     base::Instant aNow)
+{
+  m_phase = aPhase;
+  Refresh();
+  m_sentAt = aNow;
+  SendHeartbeats(aVersions);
+}
+
+void
+Membership::ForgetAll(base::Instant aNow)
+{
+  for (auto& [host, peer] : m_peers) {
+    peer.m_live = false;
+    peer.m_hearsMe = false;
+  }
+  m_listenSince = aNow;
+  Refresh();
+}
+
+bool
+Membership::IsHeardByAll() const
+{
+  return std::ranges::all_of(m_peers, [](const auto& aItem) {
+    const Peer& peer = aItem.second;
+    const bool matters = peer.m_live && peer.m_phase == HostPhase::Ready;
+    return !matters || peer.m_hearsMe;
+  });
+}
+
+bool
+Membership::HasListened(base::Instant aNow) const
+{
+  if (!m_hasList) {
+    return false;
+  }
+  const bool allHeard = std::ranges::all_of(
+    m_peers, [](const auto& aItem) { return aItem.second.m_live; });
+  return allHeard || aNow - m_listenSince >= kPeerTimeout;
+}
+
+bool
+Membership::HasReadyPeer() const
+{
+  return std::ranges::any_of(m_peers, [](const auto& aItem) {
+    return aItem.second.m_live && aItem.second.m_phase == HostPhase::Ready;
+  });
+}
+
+const PeerAddress*
+Membership::Find(base::HostId aHost) const
+{
+  const auto found = m_peers.find(aHost);
+  return found == m_peers.end() ? nullptr : &found->second.m_address;
+}
+
+base::HostId
+Membership::PeerWithBundleAbove(std::uint64_t aVersion) const
+{
+  base::HostId best;
+  std::uint64_t bestVersion = aVersion;
+  for (const auto& [host, peer] : m_peers) {
+    if (peer.m_live && peer.m_bundleVersion > bestVersion) {
+      best = host;
+      bestVersion = peer.m_bundleVersion;
+    }
+  }
+  return best;
+}
+
+} // namespace wasabiloom::peer
--- /dev/null
+++ b/src/wasabiloom/peer/Outbox.cpp
@@ -0,0 +1,7 @@
+#include "wasabiloom/peer/Outbox.h"
+
+namespace wasabiloom::peer {
+
+Outbox::~Outbox() = default;
+
+} // namespace wasabiloom::peer
--- /dev/null
+++ b/src/wasabiloom/request/RequestHome.cpp
@@ -0,0 +1,316 @@
+#include "wasabiloom/request/RequestHome.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+
+namespace wasabiloom::request {
+
+namespace {
+
+using base::ResultCode;
+
+constexpr std::uint32_t kMaxAttempts = 4;
+constexpr base::Duration kMemory = std::chrono::seconds(30);
+constexpr std::size_t kMaxParts = 1024;
+
+std::chrono::milliseconds
+TimeLeft(base::Instant aDeadline, base::Instant aNow)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDeadline -
+                                                               aNow);
+}
+
+} // namespace
+
+RequestHome::RequestHome(std::string aService,
+                         const steering::TargetDirectory& aDirectory,
+                         RequestSink& aSink)
+  : m_service(std::move(aService))
+  , m_directory(aDirectory)
+  , m_sink(aSink)
+{
+}
+
+void
+RequestHome::OnCaller(const packet::FlowKey& aFlow,
+                      const Envelope& aEnvelope,
+                      base::Instant aNow)
+{
+  const Key key{ aFlow.m_caller, aEnvelope.m_id };
+  const auto found = m_records.find(key);
+  if (aEnvelope.m_kind == EnvelopeKind::Cancel) {
+    if (found != m_records.end() && !found->second.m_finished) {
+      OnCancel(found->second);
+    }
+    return;
+  }
+  if (found == m_records.end()) {
+    Admit(key, aFlow, aEnvelope, aNow);
+    return;
+  }
+  for (const Envelope& reply : found->second.m_replies) {
+    m_sink.SendToCaller(aFlow, reply);
+  }
+}
+
+void
+RequestHome::Admit(const Key& aKey,
+                   const packet::FlowKey& aFlow,
+                   const Envelope& aEnvelope,
+                   base::Instant aNow)
+{
+  Record& record = m_records[aKey];
+  record.m_flow = aFlow;
+  record.m_request = aEnvelope;
+  record.m_deadline = aNow + aEnvelope.m_deadline;
+  if (aEnvelope.m_deadline.count() <= 0) {
+    FinishWithCode(record, ResultCode::DeadlinePassed, "deadline_passed");
+    return;
+  }
+  m_budget.OnRequest();
+  Dispatch(aKey, record, aNow);
+}
+
+void
+RequestHome::Dispatch(const Key& aKey, Record& aRecord, base::Instant aNow)
+{
+  const steering::TargetSlot slot = PickTarget(aRecord);
+  if (slot == steering::kNoSlot || aRecord.m_attempts >= kMaxAttempts) {
+    const bool refused = !aRecord.m_refusedBy.empty();
+    FinishWithCode(aRecord,
+                   refused ? ResultCode::BackendRefused
+                           : ResultCode::NoCapacity,
+                   refused ? "all_refused" : "no_free_slot");
+    return;
+  }
+  aRecord.m_slot = slot;
+  aRecord.m_dispatch = NewDispatchId();
+  aRecord.m_mayHaveRun = true;
+  ++aRecord.m_attempts;
+  ++m_inFlight[slot];
+  m_byDispatch[aRecord.m_dispatch] = aKey;
+  const auto left = aRecord.m_deadline - aNow;
+  const bool maySpare = aRecord.m_request.m_repeatable;
+  aRecord.m_attemptEnds = aNow + (maySpare ? left / 2 : left);
+  Envelope outgoing = aRecord.m_request;
+  outgoing.m_id = aRecord.m_dispatch;
+  outgoing.m_service = m_service;
+  outgoing.m_deadline = TimeLeft(aRecord.m_deadline, aNow);
+  m_sink.SendToBackend(m_directory.At(slot).m_endpoint, outgoing);
+  Log(aRecord, "least_in_flight", ResultCode::Ok);
+}
+
+steering::TargetSlot
+RequestHome::PickTarget(const Record& aRecord) const
+{
+  steering::TargetSlot best = steering::kNoSlot;
+  std::uint32_t bestLoad = 0;
+  std::uint64_t bestTie = 0;
+  const std::uint64_t seed = base::HashText(aRecord.m_request.m_id);
+  for (std::size_t i = 0; i < m_directory.Size(); ++i) {
+    const auto slot = static_cast<steering::TargetSlot>(i);
+    const steering::TargetInfo& target = m_directory.At(slot);
+    const auto found = m_inFlight.find(slot);
+    const std::uint32_t load = found == m_inFlight.end() ? 0 : found->second;
+    if (!target.m_takesNew || load >= target.m_slots ||
+        aRecord.m_refusedBy.contains(slot)) {
+      continue;
+    }
+    const std::uint64_t tie = base::Combine(seed, target.m_id.m_value);
+    const bool better = best == steering::kNoSlot || load < bestLoad ||
+                        (load == bestLoad && tie > bestTie);
+    if (better) {
+      best = slot;
+      bestLoad = load;
+      bestTie = tie;
+    }
+  }
+  return best;
+}
+
+std::string
+RequestHome::NewDispatchId()
+{
+  ++m_serial;
+  const std::array<std::uint64_t, 2> words = {
+    steering::MakeServiceId(m_service).m_value, m_serial
+  };
+  std::string id(kIdBytes, '\0');
+  std::memcpy(id.data(), words.data(), kIdBytes);
+  return id;
+}
+
+void
+RequestHome::OnBackend(const Envelope& aEnvelope, base::Instant aNow)
+{
+  const auto found = m_byDispatch.find(aEnvelope.m_id);
+  if (found == m_byDispatch.end()) {
+    return;
+  }
+  const Key key = found->second;
+  Record& record = m_records.at(key);
+  if (aEnvelope.m_kind == EnvelopeKind::Answer) {
+    OnAnswer(record, aEnvelope);
+  } else if (aEnvelope.m_kind == EnvelopeKind::Refusal) {
+    OnRefusal(key, record, aNow);
+  }
+}
+
+void
+RequestHome::OnAnswer(Record& aRecord, const Envelope& aEnvelope)
+{
+  const bool plausible = aEnvelope.m_parts > 0 &&
+                         aEnvelope.m_parts <= kMaxParts &&
+                         aEnvelope.m_part < aEnvelope.m_parts;
+  const bool repeated =
+    std::ranges::any_of(aRecord.m_replies, [&](const Envelope& aReply) {
+      return aReply.m_part == aEnvelope.m_part;
+    });
+  if (!plausible || repeated) {
+    return;
+  }
+  Reply(aRecord, aEnvelope);
+  if (aRecord.m_replies.size() == aEnvelope.m_parts) {
+    Log(aRecord, "answered", ResultCode::Ok);
+    Finish(aRecord);
+  }
+}
+
+void
+RequestHome::OnRefusal(const Key& aKey, Record& aRecord, base::Instant aNow)
+{
+  if (!aRecord.m_replies.empty()) {
+    return;
+  }
+  aRecord.m_refusedBy.insert(aRecord.m_slot);
+  aRecord.m_mayHaveRun = false;
+  ReleaseAttempt(aRecord);
+  if (!m_budget.TryTake()) {
+    FinishWithCode(aRecord, ResultCode::BackendRefused, "retry_budget_empty");
+    return;
+  }
+  Dispatch(aKey, aRecord, aNow);
+}
+
+void
+RequestHome::OnCancel(Record& aRecord)
+{
+  SendCancelToBackend(aRecord);
+  Log(aRecord, "cancelled", ResultCode::Cancelled);
+}
+
+void
+RequestHome::SendCancelToBackend(const Record& aRecord)
+{
+  Envelope cancel;
+  cancel.m_kind = EnvelopeKind::Cancel;
+  cancel.m_id = aRecord.m_dispatch;
+  cancel.m_service = m_service;
+  m_sink.SendToBackend(m_directory.At(aRecord.m_slot).m_endpoint, cancel);
+}
+
+void
+RequestHome::Tick(base::Instant aNow)
+{
+  std::vector<Key> silent;
+  for (const auto& [dispatch, key] : m_byDispatch) {
+    const Record& record = m_records.at(key);
+    if (aNow >= record.m_attemptEnds || aNow >= record.m_deadline) {
+      silent.push_back(key);
+    }
+  }
+  for (const Key& key : silent) {
+    OnSilence(key, m_records.at(key), aNow);
+  }
+  std::erase_if(m_records, [&](const auto& aItem) {
+    const Record& record = aItem.second;
+    return record.m_finished && aNow - record.m_deadline > kMemory;
+  });
+}
+
+void
+RequestHome::OnSilence(const Key& aKey, Record& aRecord, base::Instant aNow)
+{
+  const bool mayRetry =
+    aRecord.m_request.m_repeatable && aRecord.m_replies.empty() &&
+    aNow < aRecord.m_deadline && aRecord.m_attempts < kMaxAttempts;
+  if (mayRetry && m_budget.TryTake()) {
+    const steering::TargetSlot silentOne = aRecord.m_slot;
+    aRecord.m_refusedBy.insert(silentOne);
+    if (PickTarget(aRecord) != steering::kNoSlot) {
+      SendCancelToBackend(aRecord);
+      ReleaseAttempt(aRecord);
+      Dispatch(aKey, aRecord, aNow);
+      return;
+    }
+  }
+  if (aNow < aRecord.m_deadline) {
+    aRecord.m_attemptEnds = aRecord.m_deadline;
+    return;
+  }
+  SendCancelToBackend(aRecord);
+  FinishWithCode(aRecord, ResultCode::OutcomeUnknown, "silence");
+}
+
+void
+RequestHome::FinishWithCode(Record& aRecord,
+                            ResultCode aCode,
+                            std::string_view aReason)
+{
+  const bool unknown =
+    aRecord.m_mayHaveRun || aCode == ResultCode::OutcomeUnknown;
+  Envelope envelope;
+  envelope.m_kind =
+    unknown ? EnvelopeKind::UnknownOutcome : EnvelopeKind::Refusal;
+  envelope.m_code = unknown ? ResultCode::OutcomeUnknown : aCode;
+  Log(aRecord, aReason, envelope.m_code);
+  Reply(aRecord, envelope);
+  Finish(aRecord);
+}
+
+void
+RequestHome::Finish(Record& aRecord)
+{
+  ReleaseAttempt(aRecord);
+  aRecord.m_finished = true;
+  aRecord.m_request.m_body.clear();
+}
+
+void
+RequestHome::ReleaseAttempt(Record& aRecord)
+{
+  if (aRecord.m_dispatch.empty()) {
+    return;
+  }
+  m_byDispatch.erase(aRecord.m_dispatch);
+  aRecord.m_dispatch.clear();
+  --m_inFlight[aRecord.m_slot];
+}
+
+void
+RequestHome::Reply(Record& aRecord, Envelope aEnvelope)
+{
+  aEnvelope.m_id = aRecord.m_request.m_id;
+  aEnvelope.m_service = m_service;
+  m_sink.SendToCaller(aRecord.m_flow, aEnvelope);
+  aRecord.m_replies.push_back(std::move(aEnvelope));
+}
+
+void
+RequestHome::Log(const Record& aRecord,
+                 std::string_view aReason,
+                 ResultCode aCode)
+{
+  RequestDecision decision;
+  decision.m_service = m_service;
+  decision.m_id = aRecord.m_request.m_id;
+  if (aRecord.m_slot != steering::kNoSlot) {
+    decision.m_target = m_directory.At(aRecord.m_slot).m_name;
+  }
+  decision.m_reason = aReason;
+  decision.m_code = aCode;
+  m_sink.LogRequest(decision);
+}
+
+} // namespace wasabiloom::request
--- /dev/null
+++ b/src/wasabiloom/request/RequestHome.h
@@ -0,0 +1,100 @@
+/// The one host that admits, dispatches and answers a request.
+#pragma once
+
+#include "wasabiloom/base/Time.h"
+#include "wasabiloom/request/RequestSink.h"
+#include "wasabiloom/request/RetryBudget.h"
+#include "wasabiloom/steering/TargetDirectory.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wasabiloom::request {
+
+/// Requests of one service whose home is this host. A request that is not
+/// repeatable is sent again only after a backend server refused it; silence
+/// makes its outcome unknown. One thread at a time.
+class RequestHome
+{
+public:
+  /// `aDirectory` and `aSink` must outlive the home.
+  RequestHome(std::string aService,
+              const steering::TargetDirectory& aDirectory,
+              RequestSink& aSink);
+
+  /// A datagram of a caller: a request, a repeat of one, or a cancellation.
+  void OnCaller(const packet::FlowKey& aFlow,
+                const Envelope& aEnvelope,
+                base::Instant aNow);
+
+  /// A datagram of a backend server, matched by its dispatch id.
+  void OnBackend(const Envelope& aEnvelope, base::Instant aNow);
+
+  /// Ends requests whose deadline passed and retries silent attempts.
+  void Tick(base::Instant aNow);
+
+  /// Requests not yet finished.
+  std::size_t InProgress() const { return m_byDispatch.size(); }
+
+private:
+  struct Key
+  {
+    base::Endpoint m_caller;
+    std::string m_id;
+
+    friend auto operator<=>(const Key&, const Key&) = default;
+  };
+
+  struct Record
+  {
+    packet::FlowKey m_flow;
+    Envelope m_request;
+    base::Instant m_deadline;
+    base::Instant m_attemptEnds;
+    std::string m_dispatch;
+    steering::TargetSlot m_slot = steering::kNoSlot;
+    std::set<steering::TargetSlot> m_refusedBy;
+    std::uint32_t m_attempts = 0;
+    bool m_mayHaveRun = false;
+    bool m_finished = false;
+    std::vector<Envelope> m_replies;
+  };
+
+  using Records = std::map<Key, Record>;
+
+  void Admit(const Key& aKey,
+             const packet::FlowKey& aFlow,
+             const Envelope& aEnvelope,
+             base::Instant aNow);
+  void Dispatch(const Key& aKey, Record& aRecord, base::Instant aNow);
+  void OnAnswer(Record& aRecord, const Envelope& aEnvelope);
+  void OnRefusal(const Key& aKey, Record& aRecord, base::Instant aNow);
+  void OnCancel(Record& aRecord);
+  void OnSilence(const Key& aKey, Record& aRecord, base::Instant aNow);
+  void FinishWithCode(Record& aRecord,
+                      base::ResultCode aCode,
+                      std::string_view aReason);
+  void Finish(Record& aRecord);
+  void ReleaseAttempt(Record& aRecord);
+  void SendCancelToBackend(const Record& aRecord);
+  steering::TargetSlot PickTarget(const Record& aRecord) const;
+  std::string NewDispatchId();
+  void Reply(Record& aRecord, Envelope aEnvelope);
+  void Log(const Record& aRecord,
+           std::string_view aReason,
+           base::ResultCode aCode);
+
+  std::string m_service;
+  const steering::TargetDirectory& m_directory;
+  RequestSink& m_sink;
+  Records m_records;
+  std::map<std::string, Key> m_byDispatch;
+  std::map<steering::TargetSlot, std::uint32_t> m_inFlight;
+  RetryBudget m_budget;
+  std::uint64_t m_serial = 0;
+};
+
+} // namespace wasabiloom::request
--- /dev/null
+++ b/src/wasabiloom/request/RequestSink.cpp
@@ -0,0 +1,7 @@
+#include "wasabiloom/request/RequestSink.h"
+
+namespace wasabiloom::request {
+
+RequestSink::~RequestSink() = default;
+
+} // namespace wasabiloom::request
--- /dev/null
+++ b/src/wasabiloom/steering/ShardAgent.cpp
@@ -0,0 +1,251 @@
+#include "wasabiloom/steering/ShardAgent.h"
+
+namespace wasabiloom::steering {
+
+namespace {
+
+constexpr base::Duration kSweepInterval = std::chrono::minutes(5);
+constexpr base::HostId kNoHost{};
+
+SteerResult
+Drop(SteerReason aReason)
+{
+  return { SteerAction::Drop, aReason, kNoSlot, kNoHost, false };
+}
+
+} // namespace
+
+ShardAgent::ShardAgent(const ShardKey& aKey,
+                       TargetDirectory& aDirectory,
+                       const peer::HostView& aView,
+                       peer::Outbox& aOutbox)
+  : m_state(aKey, aDirectory)
+  , m_view(aView)
+  , m_outbox(aOutbox)
+  , m_owner(m_state, aView, aOutbox)
+  , m_follower(m_state, m_owner, aView, aOutbox)
+{
+}
+
+SteerResult
+ShardAgent::Steer(const Arrival& aArrival, base::Instant aNow)
+{
+  SteerResult result = Decide(aArrival);
+  if (result.m_action == SteerAction::Forward) {
+    Remember(aArrival, result, aNow);
+  }
+  return result;
+}
+
+SteerResult
+ShardAgent::Explain(const Arrival& aArrival) const
+{
+  return Decide(aArrival);
+}
+
+SteerResult
+ShardAgent::Decide(const Arrival& aArrival) const
+{
+  if (!m_state.m_hasTable) {
+    const auto owner = m_view.OwnerOf(HashShard(m_state.Key()));
+    return RelayTo(owner, SteerReason::RelayNotReady, aArrival);
+  }
+  if (m_state.m_window &&
+      m_state.m_window->m_rows.test(aArrival.m_flow.m_row)) {
+    return DecideMoving(aArrival);
+  }
+  const ShardTable::Found found = m_state.m_table.Lookup(aArrival.m_flow);
+  const auto reason =
+    found.m_pinned ? SteerReason::Pinned : SteerReason::TableDefault;
+  return ForwardTo(found.m_slot, reason, aArrival);
+}
+
+SteerResult
+ShardAgent::DecideMoving(const Arrival& aArrival) const
+{
+  const Window& window = *m_state.m_window;
+  TargetSlot slot = m_state.m_flows.Find(aArrival.m_flow);
+  if (slot == kNoSlot) {
+    slot = window.m_known.Find(aArrival.m_flow);
+  }
+  if (slot != kNoSlot) {
+    return ForwardTo(slot, SteerReason::WindowKnown, aArrival);
+  }
+  if (window.m_version.m_owner == m_view.Self()) {
+    return DecideAsWindowOwner(aArrival);
+  }
+  base::HostId owner = window.m_version.m_owner;
+  if (!m_view.IsLive(owner)) {
+    owner = m_view.OwnerOf(HashShard(m_state.Key()));
+  }
+  return RelayTo(owner, SteerReason::RelayToWindowOwner, aArrival);
+}
+
+/// Until the switch, the old default is right for every flow nobody told of.
+/// After a takeover it may not be: the lost owner may have switched.
+SteerResult
+ShardAgent::DecideAsWindowOwner(const Arrival& aArrival) const
+{
+  if (m_state.m_window->m_takeover) {
+    return Drop(SteerReason::DropNotReady);
+  }
+  const ShardTable::Found found = m_state.m_table.Lookup(aArrival.m_flow);
+  return ForwardTo(found.m_slot, SteerReason::WindowOldDefault, aArrival);
+}
+
+SteerResult
+ShardAgent::ForwardTo(TargetSlot aSlot,
+                      SteerReason aReason,
+                      const Arrival& aArrival) const
+{
+  if (aSlot == kNoSlot) {
+    return Drop(SteerReason::DropNoTarget);
+  }
+  const TargetInfo& target = m_state.Directory().At(aSlot);
+  if (!target.m_known) {
+    const auto owner = m_view.OwnerOf(HashShard(m_state.Key()));
+    return RelayTo(owner, SteerReason::RelayUnknownTarget, aArrival);
+  }
+  if (!target.m_takesPackets) {
+    return Drop(SteerReason::DropTargetClosed);
+  }
+  return { SteerAction::Forward, aReason, aSlot, kNoHost, false };
+}
+
+SteerResult
+ShardAgent::RelayTo(base::HostId aHost,
+                    SteerReason aReason,
+                    const Arrival& aArrival) const
+{
+  const bool relayedBefore = aArrival.m_relayedFrom != kNoHost;
+  if (relayedBefore || aHost == kNoHost || aHost == m_view.Self()) {
+    return Drop(SteerReason::DropNotReady);
+  }
+  return { SteerAction::Relay, aReason, kNoSlot, aHost, false };
+}
+
+void
+ShardAgent::Remember(const Arrival& aArrival,
+                     SteerResult& aResult,
+                     base::Instant aNow)
+{
+  const FlowId& flow = aArrival.m_flow;
+  aResult.m_isNew = m_state.m_flows.Put(flow, aResult.m_slot, ToSeconds(aNow));
+  const bool ownWindow = m_state.m_window &&
+                         m_state.m_window->m_version.m_owner == m_view.Self() &&
+                         m_state.m_window->m_rows.test(flow.m_row);
+  const bool atRisk = ownWindow || m_owner.IsCommitting(flow.m_row);
+  const bool wanted = aResult.m_isNew || aArrival.m_relayedFrom != kNoHost;
+  if (atRisk && wanted) {
+    SendNotice(aArrival, aResult.m_slot);
+  }
+}
+
+/// A placement made inside a window must survive the loss of this host.
+void
+ShardAgent::SendNotice(const Arrival& aArrival, TargetSlot aSlot)
+{
+  base::HostId to = aArrival.m_relayedFrom;
+  if (to == kNoHost) {
+    to = m_view.BackupOf(HashShard(m_state.Key()));
+  }
+  if (to == m_view.Self()) {
+    return;
+  }
+  const TargetId target = m_state.Directory().At(aSlot).m_id;
+  m_outbox.Send(
+    to, peer::PlacementNotice{ m_state.Key(), { aArrival.m_flow, target } });
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::Propose& aMessage,
+                      base::Instant aNow)
+{
+  m_follower.OnPropose(aFrom, aMessage, aNow);
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::Contribute& aMessage,
+                      base::Instant aNow)
+{
+  m_owner.OnContribute(aFrom, aMessage, aNow);
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::Commit& aMessage,
+                      base::Instant /*aNow*/)
+{
+  m_follower.OnCommit(aFrom, aMessage);
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::CommitAck& aMessage,
+                      base::Instant /*aNow*/)
+{
+  m_owner.OnCommitAck(aFrom, aMessage);
+}
+
+void
+ShardAgent::OnMessage(base::HostId /*aFrom*/,
+                      const peer::PlacementNotice& aMessage,
+                      base::Instant aNow)
+{
+  const PinnedFlow& placed = aMessage.m_placed;
+  const bool moving =
+    m_state.m_window && m_state.m_window->m_rows.test(placed.m_flow.m_row);
+  const TargetSlot slot = m_state.Directory().SlotOf(placed.m_target);
+  const bool agrees =
+    m_state.m_hasTable && m_state.m_table.Lookup(placed.m_flow).m_slot == slot;
+  if (moving || agrees) {
+    m_state.m_flows.Put(placed.m_flow, slot, ToSeconds(aNow));
+  }
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::SyncRequest& /*aMessage*/,
+                      base::Instant /*aNow*/)
+{
+  m_follower.OnSyncRequest(aFrom);
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::Sync& aMessage,
+                      base::Instant aNow)
+{
+  m_follower.OnSync(aFrom, aMessage, aNow);
+}
+
+void
+ShardAgent::Tick(bool aMayCreate,
+                 std::uint64_t aBundleVersion,
+                 base::Instant aNow)
+{
+  const base::HostId owner = m_view.OwnerOf(HashShard(m_state.Key()));
+  if (m_viewGeneration != m_view.Generation()) {
+    m_viewGeneration = m_view.Generation();
+    m_owner.RequestPlan();
+  }
+  m_owns = owner == m_view.Self();
+  const bool mayAct = m_owns && (m_state.m_hasTable || aMayCreate);
+  m_owner.Tick(mayAct, aBundleVersion, aNow);
+  m_follower.Tick(owner, aNow);
+  if (aNow - m_sweptAt >= kSweepInterval) {
+    m_sweptAt = aNow;
+    m_state.DropIdleFlows(aNow);
+  }
+}
+
+void
+ShardAgent::ForgetTable()
+{
+  m_owner.Abandon();
+  m_state.ForgetTable();
+}
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/steering/ShardAgent.h
@@ -0,0 +1,92 @@
+/// One shard of one service on one host: steering and table changes.
+#pragma once
+
+#include "wasabiloom/steering/ShardFollower.h"
+#include "wasabiloom/steering/ShardOwner.h"
+#include "wasabiloom/steering/ShardState.h"
+#include "wasabiloom/steering/Steer.h"
+
+namespace wasabiloom::steering {
+
+/// Steers the packets of one shard. All hosts with the same table agree on
+/// every flow outside a window; inside a window the owner decides. One thread
+/// at a time.
+class ShardAgent
+{
+public:
+  /// The arguments must outlive the agent.
+  ShardAgent(const ShardKey& aKey,
+             TargetDirectory& aDirectory,
+             const peer::HostView& aView,
+             peer::Outbox& aOutbox);
+
+  /// Decides on one packet. Allocates only when it remembers a new flow.
+  SteerResult Steer(const Arrival& aArrival, base::Instant aNow);
+
+  /// The decision Steer would take, without remembering anything.
+  SteerResult Explain(const Arrival& aArrival) const;
+
+  /// Loads what Steer will need into the processor's cache.
+  void Prefetch(const FlowId& aFlow) const { m_state.m_flows.Prefetch(aFlow); }
+
+  void OnMessage(base::HostId aFrom,
+                 const peer::Propose& aMessage,
+                 base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::Contribute& aMessage,
+                 base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::Commit& aMessage,
+                 base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::CommitAck& aMessage,
+                 base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::PlacementNotice& aMessage,
+                 base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::SyncRequest& aMessage,
+                 base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::Sync& aMessage,
+                 base::Instant aNow);
+
+  /// Drives changes. `aMayCreate` tells whether a missing table may be
+  /// created rather than awaited.
+  void Tick(bool aMayCreate, std::uint64_t aBundleVersion, base::Instant aNow);
+
+  /// Tells that the directory changed.
+  void OnDirectoryChanged() { m_owner.RequestPlan(); }
+
+  /// Forgets the table, to be fetched anew from a peer.
+  void ForgetTable();
+
+  const ShardState& State() const { return m_state; }
+  bool IsBusy() const { return m_owner.IsBusy(); }
+
+private:
+  SteerResult Decide(const Arrival& aArrival) const;
+  SteerResult DecideMoving(const Arrival& aArrival) const;
+  SteerResult DecideAsWindowOwner(const Arrival& aArrival) const;
+  SteerResult ForwardTo(TargetSlot aSlot,
+                        SteerReason aReason,
+                        const Arrival& aArrival) const;
+  SteerResult RelayTo(base::HostId aHost,
+                      SteerReason aReason,
+                      const Arrival& aArrival) const;
+  void Remember(const Arrival& aArrival,
+                SteerResult& aResult,
+                base::Instant aNow);
+  void SendNotice(const Arrival& aArrival, TargetSlot aSlot);
+
+  ShardState m_state;
+  const peer::HostView& m_view;
+  peer::Outbox& m_outbox;
+  ShardOwner m_owner;
+  ShardFollower m_follower;
+  std::uint64_t m_viewGeneration = 0;
+  bool m_owns = false;
+  base::Instant m_sweptAt;
+};
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/steering/ShardFollower.cpp
@@ -0,0 +1,168 @@
+#include "wasabiloom/steering/ShardFollower.h"
+
+#include <algorithm>
+
+namespace wasabiloom::steering {
+
+namespace {
+
+constexpr base::Duration kAskInterval = std::chrono::milliseconds(200);
+constexpr base::Duration kWindowPatience = std::chrono::seconds(1);
+
+bool
+IsPlausible(const peer::Sync& aSync)
+{
+  return aSync.m_rows.size() == kRowsPerShard;
+}
+
+} // namespace
+
+ShardFollower::ShardFollower(ShardState& aState,
+                             ShardOwner& aOwner,
+                             const peer::HostView& aView,
+                             peer::Outbox& aOutbox)
+  : m_state(aState)
+  , m_owner(aOwner)
+  , m_view(aView)
+  , m_outbox(aOutbox)
+{
+}
+
+void
+ShardFollower::OnPropose(base::HostId aFrom,
+                         const peer::Propose& aMessage,
+                         base::Instant aNow)
+{
+  m_owner.Observe(aMessage.m_version);
+  const TableVersion& committed = m_state.m_table.Version();
+  if (!m_state.m_hasTable || committed < aMessage.m_basis) {
+    m_outbox.Send(aFrom, peer::SyncRequest{ m_state.Key() });
+    return;
+  }
+  if (committed >= aMessage.m_version || committed > aMessage.m_basis) {
+    Refuse(aFrom, committed);
+    return;
+  }
+  if (m_state.m_window && m_state.m_window->m_version > aMessage.m_version) {
+    Refuse(aFrom, m_state.m_window->m_version);
+    return;
+  }
+  Accept(aFrom, aMessage, aNow);
+}
+
+void
+ShardFollower::Refuse(base::HostId aFrom, const TableVersion& aHighest)
+{
+  peer::Contribute answer;
+  answer.m_shard = m_state.Key();
+  answer.m_version = aHighest;
+  answer.m_committed = m_state.m_table.Version();
+  m_outbox.Send(aFrom, answer);
+}
+
+void
+ShardFollower::Accept(base::HostId aFrom,
+                      const peer::Propose& aMessage,
+                      base::Instant aNow)
+{
+  const bool repeated =
+    m_state.m_window && m_state.m_window->m_version == aMessage.m_version;
+  if (!repeated) {
+    m_owner.Abandon();
+    m_state.m_window = m_state.MakeWindow(aMessage);
+    m_windowSince = aNow;
+  }
+  peer::Contribute answer;
+  answer.m_shard = m_state.Key();
+  answer.m_version = aMessage.m_version;
+  answer.m_committed = m_state.m_table.Version();
+  answer.m_accepted = true;
+  for (const auto& flow : m_state.FlowsAtRisk(*m_state.m_window, aNow)) {
+    if (m_state.m_window->m_known.Find(flow.m_flow) == kNoSlot) {
+      answer.m_flows.push_back(flow);
+    }
+  }
+  m_outbox.Send(aFrom, answer);
+}
+
+void
+ShardFollower::OnCommit(base::HostId aFrom, const peer::Commit& aMessage)
+{
+  m_owner.Observe(aMessage.m_version);
+  const bool expected =
+    m_state.m_window && m_state.m_window->m_version == aMessage.m_version;
+  if (expected) {
+    for (const PinnedFlow& flow : aMessage.m_additions) {
+      const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
+      m_state.m_window->m_known.Put(flow.m_flow, slot, 0);
+    }
+    m_state.ApplyWindow();
+    m_owner.RequestPlan();
+  }
+  if (m_state.m_hasTable && m_state.m_table.Version() >= aMessage.m_version) {
+    const peer::CommitAck ack{ m_state.Key(), aMessage.m_version };
+    m_outbox.Send(aFrom, ack);
+    return;
+  }
+  m_outbox.Send(aFrom, peer::SyncRequest{ m_state.Key() });
+}
+
+void
+ShardFollower::OnSyncRequest(base::HostId aFrom)
+{
+  if (m_state.m_hasTable) {
+    m_outbox.Send(aFrom, m_state.Describe());
+  }
+}
+
+void
+ShardFollower::OnSync(base::HostId aFrom,
+                      const peer::Sync& aMessage,
+                      base::Instant aNow)
+{
+  m_owner.Observe(aMessage.m_version);
+  if (!IsPlausible(aMessage)) {
+    return;
+  }
+  const TableVersion current = m_state.m_table.Version();
+  if (!m_state.m_hasTable || aMessage.m_version > current) {
+    m_owner.Abandon();
+    m_state.AdoptTable(aMessage);
+    m_owner.RequestPlan();
+  } else if (aMessage.m_version < current) {
+    return;
+  }
+  if (aMessage.m_window) {
+    if (aMessage.m_window->m_version.m_owner != m_view.Self()) {
+      OnPropose(aMessage.m_window->m_version.m_owner, *aMessage.m_window, aNow);
+    }
+    return;
+  }
+  if (m_state.m_window && m_state.m_window->m_version.m_owner == aFrom) {
+    m_state.m_window.reset();
+    m_owner.RequestPlan();
+  }
+}
+
+void
+ShardFollower::Tick(base::HostId aOwner, base::Instant aNow)
+{
+  const bool stuck = m_state.m_window && !m_owner.IsBusy() &&
+                     aNow - m_windowSince >= kWindowPatience;
+  if (m_state.m_hasTable && !stuck) {
+    return;
+  }
+  if (aNow - m_askedAt < kAskInterval) {
+    return;
+  }
+  m_askedAt = aNow;
+  base::HostId asked = aOwner;
+  if (stuck && m_view.IsLive(m_state.m_window->m_version.m_owner)) {
+    asked = m_state.m_window->m_version.m_owner;
+  }
+  if (asked != m_view.Self()) {
+    m_outbox.Send(asked, peer::SyncRequest{ m_state.Key() });
+  }
+}
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/steering/ShardOwner.h
@@ -0,0 +1,80 @@
+/// The owner's side of changing a shard's table.
+#pragma once
+
+#include "wasabiloom/peer/HostView.h"
+#include "wasabiloom/peer/Outbox.h"
+#include "wasabiloom/steering/ShardState.h"
+
+#include <optional>
+#include <set>
+
+namespace wasabiloom::steering {
+
+/// Moves rows in three steps: every live host closes the rows and tells the
+/// flows it knows; the owner switches; every live host commits. A host that
+/// stops being live is no longer waited for. One thread at a time.
+class ShardOwner
+{
+public:
+  /// The arguments must outlive the owner.
+  ShardOwner(ShardState& aState,
+             const peer::HostView& aView,
+             peer::Outbox& aOutbox);
+
+  /// Plans and starts a change if one is due, and repeats what was lost.
+  /// `aBundleVersion` numbers the first table of a shard. Precondition:
+  /// this host owns the shard, or a change of its own is under way.
+  void Tick(bool aOwns, std::uint64_t aBundleVersion, base::Instant aNow);
+
+  void OnContribute(base::HostId aFrom,
+                    const peer::Contribute& aMessage,
+                    base::Instant aNow);
+  void OnCommitAck(base::HostId aFrom, const peer::CommitAck& aMessage);
+
+  /// Gives up a change that has not switched yet.
+  void Abandon();
+
+  /// Remembers a version that another host used.
+  void Observe(const TableVersion& aVersion);
+
+  /// Makes the next Tick plan anew.
+  void RequestPlan() { m_planDue = true; }
+
+  /// Whether a change of this host has switched and is being committed in
+  /// `aRow`.
+  bool IsCommitting(std::uint16_t aRow) const;
+
+  /// Whether a change of this host is under way.
+  bool IsBusy() const { return m_progress.has_value(); }
+
+private:
+  struct Progress
+  {
+    bool m_switched = false;
+    TableVersion m_version;
+    RowSet m_rows;
+    std::set<base::HostId> m_awaited;
+    std::vector<PinnedFlow> m_proposed;
+    peer::Message m_message;
+    base::Instant m_sentAt;
+  };
+
+  void CreateFirstTable(std::uint64_t aBundleVersion);
+  void StartIfDue(base::Instant aNow);
+  std::vector<SlotMove> MovesDue(bool aTakeover) const;
+  void Start(std::vector<SlotMove> aMoves, bool aTakeover, base::Instant aNow);
+  void Advance(base::Instant aNow);
+  void Switch(base::Instant aNow);
+  void SendToAwaited(base::Instant aNow);
+  void DropDeadAwaited();
+  TableVersion NextVersion() const;
+
+  ShardState& m_state;
+  const peer::HostView& m_view;
+  peer::Outbox& m_outbox;
+  std::optional<Progress> m_progress;
+  TableVersion m_highest;
+  bool m_planDue = true;
+};
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/steering/ShardPlanner.cpp
@@ -0,0 +1,158 @@
+#include "wasabiloom/steering/ShardPlanner.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace wasabiloom::steering {
+
+namespace {
+
+/// How many rows one backend server should hold.
+struct Quota
+{
+  TargetSlot m_slot = kNoSlot;
+  std::uint64_t m_tieBreak = 0;
+  std::uint64_t m_remainder = 0;
+  std::size_t m_rows = 0;
+};
+
+std::uint64_t
+Score(const ShardKey& aKey, std::size_t aRow, const TargetId& aTarget)
+{
+  return base::Combine(base::Combine(HashShard(aKey), aRow), aTarget.m_value);
+}
+
+std::vector<Quota>
+MakeQuotas(const ShardKey& aKey, const TargetDirectory& aDirectory)
+{
+  std::vector<Quota> quotas;
+  std::uint64_t total = 0;
+  for (std::size_t slot = 0; slot < aDirectory.Size(); ++slot) {
+    const TargetInfo& info = aDirectory.At(static_cast<TargetSlot>(slot));
+    if (info.m_takesNew) {
+      const auto tieBreak = Score(aKey, kRowsPerShard, info.m_id);
+      quotas.push_back({ static_cast<TargetSlot>(slot), tieBreak, 0, 0 });
+      total += info.m_weight;
+    }
+  }
+  for (Quota& quota : quotas) {
+    const std::uint64_t share =
+      std::uint64_t{ kRowsPerShard } * aDirectory.At(quota.m_slot).m_weight;
+    quota.m_rows = share / total;
+    quota.m_remainder = share % total;
+  }
+  return quotas;
+}
+
+/// Hands the rows lost to rounding to the largest remainders.
+void
+DistributeRemainder(std::vector<Quota>& aQuotas)
+{
+  std::size_t given = 0;
+  for (const Quota& quota : aQuotas) {
+    given += quota.m_rows;
+  }
+  std::ranges::sort(aQuotas, [](const Quota& aLeft, const Quota& aRight) {
+    return std::pair(aLeft.m_remainder, aLeft.m_tieBreak) >
+           std::pair(aRight.m_remainder, aRight.m_tieBreak);
+  });
+  for (std::size_t i = 0; given < kRowsPerShard; ++i, ++given) {
+    ++aQuotas[i % aQuotas.size()].m_rows;
+  }
+}
+
+/// Working state of one planning run.
+class Planner
+{
+public:
+  Planner(const ShardKey& aKey,
+          const ShardTable& aTable,
+          const TargetDirectory& aDirectory,
+          const std::vector<Quota>& aQuotas)
+    : m_key(aKey)
+    , m_table(aTable)
+    , m_directory(aDirectory)
+    , m_room(aDirectory.Size(), 0)
+  {
+    for (const Quota& quota : aQuotas) {
+      m_room[quota.m_slot] = quota.m_rows;
+    }
+  }
+
+  std::vector<SlotMove> Run()
+  {
+    const auto freed = KeepRowsWithinQuota();
+    std::vector<SlotMove> moves;
+    for (const std::uint16_t row : freed) {
+      const TargetSlot best = BestWithRoom(row);
+      --m_room[best];
+      moves.push_back({ row, best });
+    }
+    return moves;
+  }
+
+private:
+  /// Keeps each backend server's best-scored rows; yields the others.
+  std::vector<std::uint16_t> KeepRowsWithinQuota()
+  {
+    std::vector<std::uint16_t> rows(kRowsPerShard);
+    std::iota(rows.begin(), rows.end(), std::uint16_t{ 0 });
+    std::ranges::sort(rows, [&](std::uint16_t aLeft, std::uint16_t aRight) {
+      return RowScore(aLeft) > RowScore(aRight);
+    });
+    std::vector<std::uint16_t> freed;
+    for (const std::uint16_t row : rows) {
+      const TargetSlot slot = m_table.RowTarget(row);
+      if (slot != kNoSlot && m_room[slot] > 0) {
+        --m_room[slot];
+      } else {
+        freed.push_back(row);
+      }
+    }
+    std::ranges::sort(freed);
+    return freed;
+  }
+
+  std::uint64_t RowScore(std::uint16_t aRow) const
+  {
+    const TargetSlot slot = m_table.RowTarget(aRow);
+    return slot == kNoSlot ? 0 : Score(m_key, aRow, m_directory.At(slot).m_id);
+  }
+
+  TargetSlot BestWithRoom(std::uint16_t aRow) const
+  {
+    TargetSlot best = kNoSlot;
+    std::uint64_t bestScore = 0;
+    for (std::size_t slot = 0; slot < m_room.size(); ++slot) {
+      const auto candidate = static_cast<TargetSlot>(slot);
+      const auto score = Score(m_key, aRow, m_directory.At(candidate).m_id);
+      if (m_room[slot] > 0 && (best == kNoSlot || score > bestScore)) {
+        best = candidate;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
+  const ShardKey& m_key;
+  const ShardTable& m_table;
+  const TargetDirectory& m_directory;
+  std::vector<std::size_t> m_room;
+};
+
+} // namespace
+
+std::vector<SlotMove>
+PlanMoves(const ShardKey& aKey,
+          const ShardTable& aTable,
+          const TargetDirectory& aDirectory)
+{
+  auto quotas = MakeQuotas(aKey, aDirectory);
+  if (quotas.empty()) {
+    return {};
+  }
+  DistributeRemainder(quotas);
+  return Planner(aKey, aTable, aDirectory, quotas).Run();
+}
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/steering/ShardState.h
@@ -0,0 +1,89 @@
+/// Everything a host knows about one shard.
+#pragma once
+
+#include "wasabiloom/base/Time.h"
+#include "wasabiloom/peer/Messages.h"
+#include "wasabiloom/steering/ShardPlanner.h"
+
+#include <optional>
+#include <vector>
+
+namespace wasabiloom::steering {
+
+/// Flows not seen for this long are forgotten.
+constexpr base::Duration kFlowIdleLimit = std::chrono::minutes(30);
+
+/// Rows on their way to a new default target. While a window is open, every
+/// host but its owner relays the packets of flows it does not know.
+struct Window
+{
+  TableVersion m_version;
+  TableVersion m_basis;
+  bool m_takeover = false;
+  RowSet m_rows;
+  std::vector<SlotMove> m_moves;
+  FlowTable m_known;
+
+  /// New default of `aRow`. Precondition: m_rows has `aRow`.
+  TargetSlot NewTarget(std::uint16_t aRow) const;
+};
+
+/// State of one shard on one host. One thread at a time.
+class ShardState
+{
+public:
+  /// `aDirectory` must outlive the state.
+  ShardState(const ShardKey& aKey, TargetDirectory& aDirectory);
+
+  const ShardKey& Key() const { return m_key; }
+  TargetDirectory& Directory() const { return m_directory; }
+
+  /// Whether flows on `aSlot` are worth keeping: it takes packets, or no
+  /// bundle has told yet.
+  bool KeepsFlows(TargetSlot aSlot) const;
+
+  /// Window that `aPropose` describes.
+  Window MakeWindow(const peer::Propose& aPropose) const;
+
+  /// Message that describes `aWindow`.
+  peer::Propose DescribeWindow(const Window& aWindow) const;
+
+  /// Recently seen flows of `aWindow`'s rows that will not be on their row's
+  /// new default.
+  std::vector<PinnedFlow> FlowsAtRisk(const Window& aWindow,
+                                      base::Instant aNow) const;
+
+  /// Puts the open window's moves in force and closes it. Precondition:
+  /// a window is open.
+  void ApplyWindow();
+
+  /// Replaces the table by what `aSync` holds; drops the open window.
+  void AdoptTable(const peer::Sync& aSync);
+
+  /// The whole state as a message.
+  peer::Sync Describe() const;
+
+  /// Forgets flows that were idle for longer than kFlowIdleLimit.
+  void DropIdleFlows(base::Instant aNow);
+
+  /// Forgets the table and the window, but not the flows.
+  void ForgetTable();
+
+  bool m_hasTable = false;
+  ShardTable m_table;
+  FlowTable m_flows;
+  std::optional<Window> m_window;
+
+private:
+  void DropContradictions(const RowSet& aRows);
+  PinnedFlow Describe(const FlowTable::Entry& aEntry) const;
+
+  ShardKey m_key;
+  TargetDirectory& m_directory;
+};
+
+/// Whole seconds of `aNow`, the unit of FlowTable::Entry::m_seen. Thread safe.
+std::uint32_t
+ToSeconds(base::Instant aNow);
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/steering/Types.h
@@ -0,0 +1,117 @@
+/// Value types of steering: flows, buckets, targets and table versions.
+#pragma once
+
+#include "wasabiloom/base/HostId.h"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace wasabiloom::steering {
+
+/// Shards of one service; each has its own owner among the entry hosts.
+constexpr std::size_t kShardsPerService = 8;
+
+/// Rows of one shard's table.
+constexpr std::size_t kRowsPerShard = 512;
+
+/// Index into a service's TargetDirectory, local to one host.
+using TargetSlot = std::uint16_t;
+
+/// Marks the absence of a target.
+constexpr TargetSlot kNoSlot = 0xffff;
+
+/// Identity of a backend server within its service, equal on every host.
+struct TargetId
+{
+  std::uint32_t m_value = 0;
+
+  friend auto operator<=>(const TargetId&, const TargetId&) = default;
+};
+
+/// Identity of a service, derived from its name.
+struct ServiceId
+{
+  std::uint32_t m_value = 0;
+
+  friend auto operator<=>(const ServiceId&, const ServiceId&) = default;
+};
+
+/// One shard of one service.
+struct ShardKey
+{
+  ServiceId m_service;
+  std::uint8_t m_shard = 0;
+
+  friend auto operator<=>(const ShardKey&, const ShardKey&) = default;
+};
+
+/// A flow within its shard: the row of the table and a fingerprint.
+struct FlowId
+{
+  std::uint16_t m_row = 0;
+  std::uint32_t m_fingerprint = 0;
+
+  friend auto operator<=>(const FlowId&, const FlowId&) = default;
+};
+
+/// A flow and the backend server it belongs to.
+struct PinnedFlow
+{
+  FlowId m_flow;
+  TargetId m_target;
+
+  friend auto operator<=>(const PinnedFlow&, const PinnedFlow&) = default;
+};
+
+/// New default target of one row.
+struct RowMove
+{
+  std::uint16_t m_row = 0;
+  TargetId m_target;
+
+  friend auto operator<=>(const RowMove&, const RowMove&) = default;
+};
+
+/// Version of a shard's table. Terms rise with each change of owner, the
+/// sequence with each change of the table; the order is total.
+struct TableVersion
+{
+  std::uint32_t m_term = 0;
+  std::uint64_t m_sequence = 0;
+  base::HostId m_owner;
+
+  friend auto operator<=>(const TableVersion&, const TableVersion&) = default;
+};
+
+/// Identity of the service named `aName`. Thread safe.
+inline ServiceId
+MakeServiceId(std::string_view aName)
+{
+  return ServiceId{ static_cast<std::uint32_t>(base::HashText(aName)) };
+}
+
+/// Shard of the flow with hash `aHash`. Thread safe.
+constexpr std::uint8_t
+ShardOf(std::uint64_t aHash)
+{
+  return static_cast<std::uint8_t>((aHash >> 56) % kShardsPerService);
+}
+
+/// Row and fingerprint of the flow with hash `aHash`. Thread safe.
+constexpr FlowId
+FlowIdOf(std::uint64_t aHash)
+{
+  return FlowId{ static_cast<std::uint16_t>((aHash >> 40) % kRowsPerShard),
+                 static_cast<std::uint32_t>(aHash) };
+}
+
+/// Hash by which hosts compete for the ownership of a shard. Thread safe.
+constexpr std::uint64_t
+HashShard(const ShardKey& aKey)
+{
+  return base::Combine(aKey.m_service.m_value, aKey.m_shard);
+}
+
+} // namespace wasabiloom::steering
--- /dev/null
+++ b/src/wasabiloom/wire/PeerCodec.cpp
@@ -0,0 +1,419 @@
+#include "wasabiloom/wire/PeerCodec.h"
+
+#include "generated/peer.pb.h"
+
+#include <algorithm>
+#include <map>
+
+namespace wasabiloom::wire {
+
+namespace {
+
+using base::ResultCode;
+using steering::PinnedFlow;
+using steering::RowMove;
+using steering::TargetId;
+
+using FlowRuns = google::protobuf::RepeatedPtrField<FlowRun>;
+using RowRuns = google::protobuf::RepeatedPtrField<RowRun>;
+
+constexpr int kFingerprintBits = 32;
+constexpr std::uint64_t kFlowKeyLimit = std::uint64_t{ steering::kRowsPerShard }
+                                        << kFingerprintBits;
+
+/// Raised inside the decoder only; DecodePeer turns it into a Result.
+class Malformed
+{};
+
+void
+Require(bool aCondition)
+{
+  if (!aCondition) {
+    throw Malformed();
+  }
+}
+
+// --- values -----------------------------------------------------------------
+
+void
+Put(Shard* aOut, const steering::ShardKey& aKey)
+{
+  aOut->set_service(aKey.m_service.m_value);
+  aOut->set_shard(aKey.m_shard);
+}
+
+steering::ShardKey
+Get(const Shard& aIn)
+{
+  Require(aIn.shard() < steering::kShardsPerService);
+  return { { aIn.service() }, static_cast<std::uint8_t>(aIn.shard()) };
+}
+
+void
+Put(TableVersion* aOut, const steering::TableVersion& aVersion)
+{
+  aOut->set_term(aVersion.m_term);
+  aOut->set_sequence(aVersion.m_sequence);
+  aOut->set_owner(aVersion.m_owner.m_value);
+}
+
+steering::TableVersion
+Get(const TableVersion& aIn)
+{
+  return { aIn.term(), aIn.sequence(), { aIn.owner() } };
+}
+
+void
+Put(FlowRuns* aOut, const std::vector<PinnedFlow>& aFlows)
+{
+  std::map<TargetId, std::vector<std::uint64_t>> byTarget;
+  for (const PinnedFlow& flow : aFlows) {
+    const std::uint64_t row = flow.m_flow.m_row;
+    byTarget[flow.m_target].push_back((row << kFingerprintBits) |
+                                      flow.m_flow.m_fingerprint);
+  }
+  for (auto& [target, keys] : byTarget) {
+    std::ranges::sort(keys);
+    FlowRun* run = aOut->Add();
+    run->set_target(target.m_value);
+    std::uint64_t last = 0;
+    for (const std::uint64_t key : keys) {
+      run->add_deltas(key - last);
+      last = key;
+    }
+  }
+}
+
+std::vector<PinnedFlow>
+Get(const FlowRuns& aIn)
+{
+  std::vector<PinnedFlow> flows;
+  for (const FlowRun& run : aIn) {
+    std::uint64_t key = 0;
+    for (const std::uint64_t delta : run.deltas()) {
+      Require(delta < kFlowKeyLimit);
+      key += delta;
+      Require(key < kFlowKeyLimit);
+      const auto row = static_cast<std::uint16_t>(key >> kFingerprintBits);
+      const auto fingerprint = static_cast<std::uint32_t>(key);
+      flows.push_back({ { row, fingerprint }, { run.target() } });
+    }
+  }
+  std::ranges::sort(flows);
+  return flows;
+}
+
+void
+Put(RowRuns* aOut, const std::vector<RowMove>& aMoves)
+{
+  std::map<TargetId, std::vector<std::uint32_t>> byTarget;
+  for (const RowMove& move : aMoves) {
+    byTarget[move.m_target].push_back(move.m_row);
+  }
+  for (auto& [target, rows] : byTarget) {
+    std::ranges::sort(rows);
+    RowRun* run = aOut->Add();
+    run->set_target(target.m_value);
+    std::uint32_t last = 0;
+    for (const std::uint32_t row : rows) {
+      run->add_deltas(row - last);
+      last = row;
+    }
+  }
+}
+
+std::vector<RowMove>
+Get(const RowRuns& aIn)
+{
+  std::vector<RowMove> moves;
+  for (const RowRun& run : aIn) {
+    std::uint32_t row = 0;
+    for (const std::uint32_t delta : run.deltas()) {
+      Require(delta < steering::kRowsPerShard);
+      row += delta;
+      Require(row < steering::kRowsPerShard);
+      moves.push_back({ static_cast<std::uint16_t>(row), { run.target() } });
+    }
+  }
+  std::ranges::sort(moves);
+  const auto sameRow = [](const RowMove& aLeft, const RowMove& aRight) {
+    return aLeft.m_row == aRight.m_row;
+  };
+  Require(std::ranges::adjacent_find(moves, sameRow) == moves.end());
+  return moves;
+}
+
+// --- messages ---------------------------------------------------------------
+
+void
+Put(Heartbeat* aOut, const peer::Heartbeat& aMessage)
+{
+  aOut->set_phase(static_cast<std::uint32_t>(aMessage.m_phase));
+  aOut->set_bundle_version(aMessage.m_bundleVersion);
+  aOut->set_list_revision(aMessage.m_listRevision);
+  for (const base::HostId host : aMessage.m_hears) {
+    aOut->add_hears(host.m_value);
+  }
+}
+
+peer::Heartbeat
+Get(const Heartbeat& aIn)
+{
+  Require(aIn.phase() <= static_cast<std::uint32_t>(peer::HostPhase::Left));
+  peer::Heartbeat message;
+  message.m_phase = static_cast<peer::HostPhase>(aIn.phase());
+  message.m_bundleVersion = aIn.bundle_version();
+  message.m_listRevision = aIn.list_revision();
+  for (const std::uint32_t host : aIn.hears()) {
+    message.m_hears.push_back({ host });
+  }
+  return message;
+}
+
+void
+Put(Propose* aOut, const peer::Propose& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_version(), aMessage.m_version);
+  Put(aOut->mutable_basis(), aMessage.m_basis);
+  aOut->set_takeover(aMessage.m_takeover);
+  Put(aOut->mutable_moves(), aMessage.m_moves);
+  Put(aOut->mutable_known(), aMessage.m_known);
+}
+
+peer::Propose
+Get(const Propose& aIn)
+{
+  peer::Propose message;
+  message.m_shard = Get(aIn.shard());
+  message.m_version = Get(aIn.version());
+  message.m_basis = Get(aIn.basis());
+  message.m_takeover = aIn.takeover();
+  message.m_moves = Get(aIn.moves());
+  message.m_known = Get(aIn.known());
+  return message;
+}
+
+void
+Put(Contribute* aOut, const peer::Contribute& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_version(), aMessage.m_version);
+  Put(aOut->mutable_committed(), aMessage.m_committed);
+  aOut->set_accepted(aMessage.m_accepted);
+  Put(aOut->mutable_flows(), aMessage.m_flows);
+}
+
+peer::Contribute
+Get(const Contribute& aIn)
+{
+  peer::Contribute message;
+  message.m_shard = Get(aIn.shard());
+  message.m_version = Get(aIn.version());
+  message.m_committed = Get(aIn.committed());
+  message.m_accepted = aIn.accepted();
+  message.m_flows = Get(aIn.flows());
+  return message;
+}
+
+void
+Put(Commit* aOut, const peer::Commit& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_version(), aMessage.m_version);
+  Put(aOut->mutable_additions(), aMessage.m_additions);
+}
+
+peer::Commit
+Get(const Commit& aIn)
+{
+  return { Get(aIn.shard()), Get(aIn.version()), Get(aIn.additions()) };
+}
+
+void
+Put(CommitAck* aOut, const peer::CommitAck& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_version(), aMessage.m_version);
+}
+
+peer::CommitAck
+Get(const CommitAck& aIn)
+{
+  return { Get(aIn.shard()), Get(aIn.version()) };
+}
+
+void
+Put(PlacementNotice* aOut, const peer::PlacementNotice& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  FlowRun* run = aOut->mutable_placed();
+  run->set_target(aMessage.m_placed.m_target.m_value);
+  const std::uint64_t row = aMessage.m_placed.m_flow.m_row;
+  run->add_deltas((row << kFingerprintBits) |
+                  aMessage.m_placed.m_flow.m_fingerprint);
+}
+
+peer::PlacementNotice
+Get(const PlacementNotice& aIn)
+{
+  FlowRuns runs;
+  *runs.Add() = aIn.placed();
+  const auto flows = Get(runs);
+  Require(flows.size() == 1);
+  return { Get(aIn.shard()), flows.front() };
+}
+
+void
+Put(SyncRequest* aOut, const peer::SyncRequest& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+}
+
+peer::SyncRequest
+Get(const SyncRequest& aIn)
+{
+  return { Get(aIn.shard()) };
+}
+
+void
+Put(Sync* aOut, const peer::Sync& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_version(), aMessage.m_version);
+  std::vector<RowMove> rows;
+  for (std::size_t row = 0; row < aMessage.m_rows.size(); ++row) {
+    rows.push_back({ static_cast<std::uint16_t>(row), aMessage.m_rows[row] });
+  }
+  Put(aOut->mutable_rows(), rows);
+  Put(aOut->mutable_pinned(), aMessage.m_pinned);
+  if (aMessage.m_window) {
+    Put(aOut->mutable_window(), *aMessage.m_window);
+  }
+}
+
+peer::Sync
+Get(const Sync& aIn)
+{
+  peer::Sync message;
+  message.m_shard = Get(aIn.shard());
+  message.m_version = Get(aIn.version());
+  const auto rows = Get(aIn.rows());
+  Require(rows.size() == steering::kRowsPerShard);
+  for (const RowMove& row : rows) {
+    message.m_rows.push_back(row.m_target);
+  }
+  message.m_pinned = Get(aIn.pinned());
+  if (aIn.has_window()) {
+    message.m_window = Get(aIn.window());
+  }
+  return message;
+}
+
+// --- datagram ---------------------------------------------------------------
+
+/// Writes the body of a datagram, one overload for each kind of message.
+struct BodyWriter
+{
+  PeerDatagram& m_out;
+
+  void operator()(const peer::Heartbeat& aMessage) const
+  {
+    Put(m_out.mutable_heartbeat(), aMessage);
+  }
+  void operator()(const peer::Propose& aMessage) const
+  {
+    Put(m_out.mutable_propose(), aMessage);
+  }
+  void operator()(const peer::Contribute& aMessage) const
+  {
+    Put(m_out.mutable_contribute(), aMessage);
+  }
+  void operator()(const peer::Commit& aMessage) const
+  {
+    Put(m_out.mutable_commit(), aMessage);
+  }
+  void operator()(const peer::CommitAck& aMessage) const
+  {
+    Put(m_out.mutable_commit_ack(), aMessage);
+  }
+  void operator()(const peer::PlacementNotice& aMessage) const
+  {
+    Put(m_out.mutable_placement_notice(), aMessage);
+  }
+  void operator()(const peer::SyncRequest& aMessage) const
+  {
+    Put(m_out.mutable_sync_request(), aMessage);
+  }
+  void operator()(const peer::Sync& aMessage) const
+  {
+    Put(m_out.mutable_sync(), aMessage);
+  }
+  void operator()(const peer::BundleRequest& /*aMessage*/) const
+  {
+    m_out.mutable_bundle_request();
+  }
+  void operator()(const peer::BundleReply& aMessage) const
+  {
+    m_out.mutable_bundle_reply()->set_signed_bundle(aMessage.m_signedBundle);
+  }
+};
+
+peer::Message
+GetBody(const PeerDatagram& aIn)
+{
+  switch (aIn.body_case()) {
+    case PeerDatagram::kHeartbeat:
+      return Get(aIn.heartbeat());
+    case PeerDatagram::kPropose:
+      return Get(aIn.propose());
+    case PeerDatagram::kContribute:
+      return Get(aIn.contribute());
+    case PeerDatagram::kCommit:
+      return Get(aIn.commit());
+    case PeerDatagram::kCommitAck:
+      return Get(aIn.commit_ack());
+    case PeerDatagram::kPlacementNotice:
+      return Get(aIn.placement_notice());
+    case PeerDatagram::kSyncRequest:
+      return Get(aIn.sync_request());
+    case PeerDatagram::kSync:
+      return Get(aIn.sync());
+    case PeerDatagram::kBundleRequest:
+      return peer::BundleRequest{};
+    case PeerDatagram::kBundleReply:
+      return peer::BundleReply{ aIn.bundle_reply().signed_bundle() };
+    case PeerDatagram::BODY_NOT_SET:
+      break;
+  }
+  throw Malformed();
+}
+
+} // namespace
+
+std::string
+EncodePeer(const peer::Datagram& aDatagram)
+{
+  PeerDatagram out;
+  out.set_from(aDatagram.m_from.m_value);
+  out.set_incarnation(aDatagram.m_incarnation);
+  std::visit(BodyWriter{ out }, aDatagram.m_message);
+  return out.SerializeAsString();
+}
+
+base::Result<peer::Datagram>
+DecodePeer(std::string_view aBytes)
+{
+  PeerDatagram in;
+  if (!in.ParseFromArray(aBytes.data(), static_cast<int>(aBytes.size()))) {
+    return base::Fail(ResultCode::PeerMessageMalformed, "not a peer datagram");
+  }
+  try {
+    return peer::Datagram{ { in.from() }, in.incarnation(), GetBody(in) };
+  } catch (const Malformed&) {
+    return base::Fail(ResultCode::PeerMessageMalformed,
+                      "field of a peer datagram out of range");
+  }
+}
+
+} // namespace wasabiloom::wire
