--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -30,13 +30,21 @@
   return base::HashText(aId, base::Pack(aFlow.m_caller));
 }
 
+/// Short identity of this process among all processes of all hosts.
+std::uint32_t
+InstanceOf(const HostIdentity& aIdentity)
+{
+  return static_cast<std::uint32_t>(
+    base::HashText(aIdentity.m_name, aIdentity.m_incarnation));
+}
+
 std::string_view
 PhaseName(HostPhase aPhase)
 {
-  static constexpr std::array<std::string_view, 4> kNames = {
+  static constexpr std::array<std::string_view, 4> sNames = {
     "joining", "ready", "leaving", "left"
   };
-  return kNames.at(static_cast<std::size_t>(aPhase));
+  return sNames.at(static_cast<std::size_t>(aPhase));
 }
 
 ResultCode
@@ -255,7 +263,7 @@
     } else {
       peer::Outbox& outbox = *this;
       runtime = std::make_unique<ServiceRuntime>(
-        service, m_membership, outbox, m_effects);
+        service, InstanceOf(m_identity), m_membership, outbox, m_effects);
     }
     runtime->Adopt(m_bundle, service);
     runtime->SetLeaving(m_list.m_leavingTargets);
--- a/src/wasabiloom/core/ServiceRuntime.cpp
+++ b/src/wasabiloom/core/ServiceRuntime.cpp
@@ -28,11 +28,12 @@
 } // namespace
 
 ServiceRuntime::ServiceRuntime(const bundle::Service& aService,
+                               std::uint32_t aInstance,
                                const peer::HostView& aView,
                                peer::Outbox& aOutbox,
                                request::RequestSink& aSink)
   : m_service(aService)
-  , m_requests(aService.m_name, m_directory, aSink)
+  , m_requests(aService.m_name, aInstance, m_directory, aSink)
 {
   const auto service = steering::MakeServiceId(aService.m_name);
   for (std::size_t shard = 0; shard < steering::kShardsPerService; ++shard) {
--- a/src/wasabiloom/core/ServiceRuntime.h
+++ b/src/wasabiloom/core/ServiceRuntime.h
@@ -16,8 +16,10 @@
 class ServiceRuntime
 {
 public:
-  /// The references must outlive the runtime.
+  /// `aInstance` differs for every process of every host. The references must
+  /// outlive the runtime.
   ServiceRuntime(const bundle::Service& aService,
+                 std::uint32_t aInstance,
                  const peer::HostView& aView,
                  peer::Outbox& aOutbox,
                  request::RequestSink& aSink);
--- a/src/wasabiloom/daemon/Log.cpp
+++ b/src/wasabiloom/daemon/Log.cpp
@@ -42,12 +42,12 @@
 std::string
 Hex(const std::string& aBytes)
 {
-  static const char* const kDigits = "0123456789abcdef";
+  static const char* const sDigits = "0123456789abcdef";
   std::string text;
   for (const char byte : aBytes) {
     const auto value = static_cast<unsigned char>(byte);
-    text += kDigits[value >> 4];
-    text += kDigits[value & 0x0f];
+    text += sDigits[value >> 4];
+    text += sDigits[value & 0x0f];
   }
   return text;
 }
--- a/src/wasabiloom/jsonc/Node.cpp
+++ b/src/wasabiloom/jsonc/Node.cpp
@@ -7,10 +7,10 @@
 std::string
 KindOf(const Node& aNode)
 {
-  static constexpr std::array kKinds = { "null",   "boolean", "integer",
+  static constexpr std::array sKinds = { "null",   "boolean", "integer",
                                          "number", "string",  "array",
                                          "object" };
-  return kKinds.at(aNode.m_content.index());
+  return sKinds.at(aNode.m_content.index());
 }
 
 } // namespace wasabiloom::jsonc
--- a/src/wasabiloom/jsonc/Node.h
+++ b/src/wasabiloom/jsonc/Node.h
@@ -2,18 +2,17 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <string>
-#include <utility>
 #include <variant>
 #include <vector>
 
 namespace wasabiloom::jsonc {
 
+struct Member;
 struct Node;
 
 /// Members of an object in the order of the text.
-using Members = std::vector<std::pair<std::string, Node>>;
+using Members = std::vector<Member>;
 
 /// Elements of an array.
 using Elements = std::vector<Node>;
@@ -35,6 +34,13 @@
   std::string m_path;
 };
 
+/// One member of an object.
+struct Member
+{
+  std::string m_key;
+  Node m_value;
+};
+
 /// "object", "integer", ... for messages. Thread safe.
 std::string
 KindOf(const Node& aNode);
--- a/src/wasabiloom/jsonc/ObjectReader.cpp
+++ b/src/wasabiloom/jsonc/ObjectReader.cpp
@@ -84,8 +84,8 @@
   m_known.emplace(aKey);
   const auto& members = std::get<Members>(m_node->m_content);
   const auto found = std::ranges::find_if(
-    members, [&](const auto& aMember) { return aMember.first == aKey; });
-  return found == members.end() ? nullptr : &found->second;
+    members, [&](const auto& aMember) { return aMember.m_key == aKey; });
+  return found == members.end() ? nullptr : &found->m_value;
 }
 
 Result<const Node*>
--- a/src/wasabiloom/jsonc/Parser.cpp
+++ b/src/wasabiloom/jsonc/Parser.cpp
@@ -100,7 +100,7 @@
   {
     const auto& members = std::get<Members>(m_open.back()->m_content);
     const bool clash = std::ranges::any_of(
-      members, [&](const auto& aMember) { return aMember.first == aName; });
+      members, [&](const auto& aMember) { return aMember.m_key == aName; });
     if (clash) {
       m_problem = Problem{ ResultCode::JsonClash,
                            "line " + std::to_string(m_line) + ": key \"" +
@@ -151,7 +151,8 @@
       return &elements->emplace_back(std::move(node));
     }
     auto& members = std::get<Members>(parent);
-    return &members.emplace_back(std::move(m_key), std::move(node)).second;
+    members.push_back({ std::move(m_key), std::move(node) });
+    return &members.back().m_value;
   }
 
   bool Add(Content aContent)
--- a/src/wasabiloom/request/RequestHome.cpp
+++ b/src/wasabiloom/request/RequestHome.cpp
@@ -24,9 +24,11 @@
 } // namespace
 
 RequestHome::RequestHome(std::string aService,
+                         std::uint32_t aInstance,
                          const steering::TargetDirectory& aDirectory,
                          RequestSink& aSink)
   : m_service(std::move(aService))
+  , m_instance(aInstance)
   , m_directory(aDirectory)
   , m_sink(aSink)
 {
@@ -133,8 +135,9 @@
 RequestHome::NewDispatchId()
 {
   ++m_serial;
+  const std::uint64_t service = steering::MakeServiceId(m_service).m_value;
   const std::array<std::uint64_t, 2> words = {
-    steering::MakeServiceId(m_service).m_value, m_serial
+    service | (std::uint64_t{ m_instance } << 32), m_serial
   };
   std::string id(kIdBytes, '\0');
   std::memcpy(id.data(), words.data(), kIdBytes);
--- a/src/wasabiloom/request/RequestHome.h
+++ b/src/wasabiloom/request/RequestHome.h
@@ -20,8 +20,11 @@
 class RequestHome
 {
 public:
-  /// `aDirectory` and `aSink` must outlive the home.
+  /// `aInstance` differs for every process of every host, so that no two homes
+  /// ever use the same dispatch id. `aDirectory` and `aSink` must outlive the
+  /// home.
   RequestHome(std::string aService,
+              std::uint32_t aInstance,
               const steering::TargetDirectory& aDirectory,
               RequestSink& aSink);
 
@@ -88,6 +91,7 @@
            base::ResultCode aCode);
 
   std::string m_service;
+  std::uint32_t m_instance;
   const steering::TargetDirectory& m_directory;
   RequestSink& m_sink;
   Records m_records;
--- a/src/wasabiloom/steering/ShardPlanner.cpp
+++ b/src/wasabiloom/steering/ShardPlanner.cpp
@@ -35,6 +35,9 @@
       total += info.m_weight;
     }
   }
+  if (total == 0) {
+    return {};
+  }
   for (Quota& quota : quotas) {
     const std::uint64_t share =
       std::uint64_t{ kRowsPerShard } * aDirectory.At(quota.m_slot).m_weight;
--- a/standins/Caller.cpp
+++ b/standins/Caller.cpp
@@ -94,7 +94,7 @@
       const auto port = static_cast<std::uint16_t>(kFirstFeedPort + i);
       feed.m_flow = { { m_address, port },
                       { packet::Protocol::Tcp, aService } };
-      feed.m_nextAt = i * kTickMs;
+      feed.m_nextAt = Milliseconds{ i } * kTickMs;
       m_feeds[port] = feed;
     }
   }
--- /dev/null
+++ b/tests/unit/RequestHomeTests.cpp
@@ -0,0 +1,165 @@
+#include "support/SampleBundle.h"
+#include "support/Section.h"
+#include "wasabiloom/request/RequestHome.h"
+
+namespace wasabiloom::tests {
+
+using namespace request;
+using base::ResultCode;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Keeps what a home sends.
+class Recorder final : public RequestSink
+{
+public:
+  void SendToBackend(const base::Endpoint& aTo,
+                     const Envelope& aEnvelope) override
+  {
+    m_toBackend.emplace_back(aTo, aEnvelope);
+  }
+  void SendToCaller(const packet::FlowKey& /*aFlow*/,
+                    const Envelope& aEnvelope) override
+  {
+    m_toCaller.push_back(aEnvelope);
+  }
+  void LogRequest(const RequestDecision& /*aDecision*/) override {}
+
+  std::vector<std::pair<base::Endpoint, Envelope>> m_toBackend;
+  std::vector<Envelope> m_toCaller;
+};
+
+/// A home with a few backend servers, driven by hand.
+class HomeBench
+{
+public:
+  explicit HomeBench(int aTargets, std::uint32_t aInstance = 1)
+    : m_service(SampleService("vault", aTargets))
+    , m_home("vault", aInstance, m_directory, m_sink)
+  {
+    m_directory.Adopt(SampleBundle(1, { m_service }), m_service);
+  }
+
+  Envelope Ask(char aId, bool aRepeatable)
+  {
+    Envelope envelope;
+    envelope.m_id = std::string(kIdBytes, aId);
+    envelope.m_repeatable = aRepeatable;
+    envelope.m_deadline = milliseconds(1000);
+    envelope.m_body = std::string(1, aId);
+    m_home.OnCaller(m_flow, envelope, m_now);
+    return envelope;
+  }
+
+  void Reply(std::size_t aDispatch, EnvelopeKind aKind, std::uint32_t aPart = 0)
+  {
+    Envelope reply = m_sink.m_toBackend.at(aDispatch).second;
+    reply.m_kind = aKind;
+    reply.m_part = aPart;
+    reply.m_parts = 2;
+    m_home.OnBackend(reply, m_now);
+  }
+
+  void Pass(milliseconds aTime)
+  {
+    m_now += aTime;
+    m_home.Tick(m_now);
+  }
+
+  std::size_t Dispatches() const
+  {
+    std::size_t count = 0;
+    for (const auto& [to, envelope] : m_sink.m_toBackend) {
+      count += envelope.m_kind == EnvelopeKind::Request ? 1 : 0;
+    }
+    return count;
+  }
+
+  bundle::Service m_service;
+  steering::TargetDirectory m_directory;
+  Recorder m_sink;
+  RequestHome m_home;
+  packet::FlowKey m_flow{ { { 1 }, 9 }, {} };
+  base::Instant m_now{ std::chrono::seconds(100) };
+};
+
+} // namespace
+
+TEST(RequestHome, RunsARequestOnceAndAnswersItWhole)
+{
+  HomeBench bench(3);
+  const Envelope asked = bench.Ask('a', false);
+  Section("a repeated datagram is not run again", [&] {
+    bench.Ask('a', false);
+    EXPECT_EQ(bench.Dispatches(), 1U);
+  });
+  Section("parts are relayed in any order, each once, under the caller's id",
+          [&] {
+            bench.Reply(0, EnvelopeKind::Answer, 1);
+            bench.Reply(0, EnvelopeKind::Answer, 1);
+            EXPECT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+            bench.Reply(0, EnvelopeKind::Answer, 0);
+            ASSERT_EQ(bench.m_sink.m_toCaller.size(), 2U);
+            EXPECT_EQ(bench.m_sink.m_toCaller[1].m_id, asked.m_id);
+            EXPECT_EQ(bench.m_home.InProgress(), 0U);
+          });
+  Section("a caller that asks once more gets the same answer", [&] {
+    bench.Ask('a', false);
+    EXPECT_EQ(bench.m_sink.m_toCaller.size(), 4U);
+    EXPECT_EQ(bench.Dispatches(), 1U);
+  });
+}
+
+TEST(RequestHome, TellsTheTruthAboutWhatWasNotRun)
+{
+  Section("a refusal moves the request to another backend server", [] {
+    HomeBench bench(2);
+    bench.Ask('a', false);
+    bench.Reply(0, EnvelopeKind::Refusal);
+    ASSERT_EQ(bench.Dispatches(), 2U);
+    EXPECT_NE(bench.m_sink.m_toBackend[0].first,
+              bench.m_sink.m_toBackend[1].first);
+    Section("and when all refuse, the caller learns it was not run", [&] {
+      bench.Reply(1, EnvelopeKind::Refusal);
+      ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+      EXPECT_EQ(bench.m_sink.m_toCaller[0].m_kind, EnvelopeKind::Refusal);
+    });
+  });
+  Section("silence makes a request that may not be repeated unknown", [] {
+    HomeBench bench(2);
+    bench.Ask('a', false);
+    bench.Pass(milliseconds(600));
+    EXPECT_EQ(bench.Dispatches(), 1U);
+    bench.Pass(milliseconds(500));
+    EXPECT_EQ(bench.Dispatches(), 1U);
+    ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+    EXPECT_EQ(bench.m_sink.m_toCaller[0].m_kind, EnvelopeKind::UnknownOutcome);
+  });
+  Section("a repeatable one is tried elsewhere in time", [] {
+    HomeBench bench(2);
+    bench.Ask('a', true);
+    bench.Pass(milliseconds(600));
+    EXPECT_EQ(bench.Dispatches(), 2U);
+  });
+  Section("without a free slot it is refused at once", [] {
+    HomeBench bench(1);
+    bench.Ask('a', false);
+    bench.Ask('b', false);
+    bench.Ask('c', false);
+    ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+    EXPECT_EQ(bench.m_sink.m_toCaller[0].m_code, ResultCode::NoCapacity);
+  });
+}
+
+TEST(RequestHome, NeverSharesADispatchIdWithAnotherHome)
+{
+  HomeBench one(1, 1);
+  HomeBench other(1, 2);
+  one.Ask('a', false);
+  other.Ask('b', false);
+  EXPECT_NE(one.m_sink.m_toBackend[0].second.m_id,
+            other.m_sink.m_toBackend[0].second.m_id);
+}
+
+} // namespace wasabiloom::tests
