--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -527,6 +527,16 @@
   return status;
 }
 
+std::size_t
+HostCore::FlowMemoryBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [id, service] : m_services) {
+    bytes += service->FlowMemoryBytes();
+  }
+  return bytes;
+}
+
 base::Result<Explanation>
 HostCore::Explain(const packet::FlowKey& aFlow) const
 {
--- a/src/wasabiloom/core/HostCore.h
+++ b/src/wasabiloom/core/HostCore.h
@@ -78,6 +78,9 @@
   const Counters& GetCounters() const { return m_counters; }
   HostStatus Status() const;
 
+  /// Bytes of memory that remembered and pinned flows occupy.
+  std::size_t FlowMemoryBytes() const;
+
   /// Errors: ValueNotFound when no service has the flow's address.
   base::Result<Explanation> Explain(const packet::FlowKey& aFlow) const;
 
--- a/src/wasabiloom/core/ServiceRuntime.cpp
+++ b/src/wasabiloom/core/ServiceRuntime.cpp
@@ -110,6 +110,18 @@
   return count;
 }
 
+std::size_t
+ServiceRuntime::FlowMemoryBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& shard : m_shards) {
+    const steering::ShardState& state = shard->State();
+    bytes += state.m_flows.MemoryBytes();
+    bytes += state.m_table.Pinned().MemoryBytes();
+  }
+  return bytes;
+}
+
 ServiceStatus
 ServiceRuntime::Status() const
 {
--- a/src/wasabiloom/core/ServiceRuntime.h
+++ b/src/wasabiloom/core/ServiceRuntime.h
@@ -51,6 +51,9 @@
   /// Flows this host has seen and not forgotten.
   std::size_t FlowCount() const;
 
+  /// Bytes of memory that remembered and pinned flows occupy.
+  std::size_t FlowMemoryBytes() const;
+
   ServiceStatus Status() const;
 
 private:
--- a/src/wasabiloom/daemon/CoreTask.cpp
+++ b/src/wasabiloom/daemon/CoreTask.cpp
@@ -71,6 +71,12 @@
   const settings::Ports& ports = m_settings.m_ports;
   BOOST_LEAF_CHECK(
     Open(m_fabric, ports.m_packets, &CoreTask::OnFabricReadable));
+  m_path = std::make_unique<PacketPath>(
+    *m_fabric.m_socket,
+    m_core,
+    [this](base::ResultCode aCode, const base::Endpoint& aFrom) {
+      NoteRefusal(aCode, aFrom);
+    });
   BOOST_LEAF_CHECK(Open(m_relay, ports.m_relay, &CoreTask::OnRelayReadable));
   BOOST_LEAF_CHECK(Open(m_peer, ports.m_peer, &CoreTask::OnPeerReadable));
   BOOST_LEAF_CHECK(
@@ -90,20 +96,7 @@
   const base::Instant now = Now();
   m_lastPacketAt = now;
   for (int batch = 0; batch < kBatchesPerWakeup; ++batch) {
-    const auto datagrams = m_fabric.m_socket->Receive();
-    for (const Received& datagram : datagrams) {
-      m_core.Prefetch(datagram.m_bytes);
-    }
-    for (const Received& datagram : datagrams) {
-      Carry(datagram,
-            datagram.m_truncated
-              ? core::PacketVerdict{ core::PacketAction::Drop,
-                                     {},
-                                     base::ResultCode::PacketOversized }
-              : m_core.OnPacket(datagram.m_bytes, now));
-    }
-    m_fabric.m_socket->Flush();
-    if (datagrams.size() < kBatchSize) {
+    if (m_path->CarryBatch(now) < kBatchSize) {
       return;
     }
   }
@@ -119,26 +112,10 @@
       NoteRefusal(base::ResultCode::PeerUnknown, datagram.m_from);
       continue;
     }
-    Carry(datagram,
-          m_core.OnRelayedPacket(datagram.m_bytes, peer->second, now));
-  }
-  m_fabric.m_socket->Flush();
-}
-
-void
-CoreTask::Carry(const Received& aDatagram, const core::PacketVerdict& aVerdict)
-{
-  switch (aVerdict.m_action) {
-    case core::PacketAction::Forward:
-    case core::PacketAction::Relay:
-      m_fabric.m_socket->Queue(aDatagram.m_bytes, aVerdict.m_to);
-      break;
-    case core::PacketAction::Consumed:
-      break;
-    case core::PacketAction::Drop:
-      NoteRefusal(aVerdict.m_code, aDatagram.m_from);
-      break;
+    m_path->Carry(datagram,
+                  m_core.OnRelayedPacket(datagram.m_bytes, peer->second, now));
   }
+  m_path->Flush();
 }
 
 void
--- a/src/wasabiloom/daemon/CoreTask.h
+++ b/src/wasabiloom/daemon/CoreTask.h
@@ -3,6 +3,7 @@
 
 #include "wasabiloom/core/HostCore.h"
 #include "wasabiloom/daemon/LargeMessageSender.h"
+#include "wasabiloom/daemon/PacketPath.h"
 #include "wasabiloom/daemon/UdpSocket.h"
 #include "wasabiloom/settings/HostSettings.h"
 
@@ -76,7 +77,6 @@
   void OnPeerReadable();
   void OnBackendReadable();
   void OnTick();
-  void Carry(const Received& aDatagram, const core::PacketVerdict& aVerdict);
   void NoteRefusal(base::ResultCode aCode, const base::Endpoint& aFrom);
   void OnPeerBytes(std::string_view aBytes, const base::Endpoint& aFrom);
   void ReportRefusals(base::Instant aNow);
@@ -89,6 +89,7 @@
   Port m_relay;
   Port m_peer;
   Port m_requests;
+  std::unique_ptr<PacketPath> m_path;
   QTimer m_timer;
   std::map<base::Ipv4Address, base::HostId> m_hostsByAddress;
   std::map<base::ResultCode, std::pair<std::uint64_t, base::Endpoint>>
