--- /dev/null
+++ b/scenario/Fleet.cpp
@@ -0,0 +1,505 @@
+#include "Fleet.h"
+
+#include "wasabiloom/wire/PeerCodec.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+
+namespace wasabiloom::scenario {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration kFabricNotices = milliseconds(1000);
+constexpr base::Duration kFabricLearnsLeave = milliseconds(500);
+constexpr base::Duration kLeaveQuiet = milliseconds(1500);
+constexpr base::Duration kLeastConfigDelay = milliseconds(20);
+constexpr base::Duration kMostConfigDelay = milliseconds(200);
+constexpr base::Duration kLeastCallerDelay = milliseconds(1);
+constexpr base::Duration kMostCallerDelay = milliseconds(3);
+constexpr std::size_t kUdpIpHeaderBytes = 28;
+constexpr std::chrono::seconds kControlWindow{ 10 };
+
+base::Duration
+Between(std::mt19937_64& aRandom, base::Duration aLeast, base::Duration aMost)
+{
+  std::uniform_int_distribution<base::Duration::rep> pick(aLeast.count(),
+                                                          aMost.count());
+  return base::Duration(pick(aRandom));
+}
+
+} // namespace
+
+FleetListener::~FleetListener() = default;
+
+/// One entry host: its process, its inbox and its accounts.
+class Fleet::Host final : public core::Effects
+{
+public:
+  Host(Fleet& aFleet, int aIndex)
+    : m_fleet(aFleet)
+    , m_index(aIndex)
+  {
+  }
+
+  void SendToBackend(const base::Endpoint& aTo,
+                     const request::Envelope& aEnvelope) override
+  {
+    m_fleet.m_listener->OnBackendDatagram(aTo, aEnvelope, m_index);
+  }
+  void SendToCaller(const packet::FlowKey& aFlow,
+                    const request::Envelope& aEnvelope) override
+  {
+    m_fleet.m_listener->OnCallerDatagram(aFlow, aEnvelope);
+  }
+  void LogRequest(const request::RequestDecision& /*aDecision*/) override {}
+  void SendPeer(const base::Endpoint& aTo,
+                const peer::Datagram& aDatagram) override
+  {
+    m_fleet.SendPeer(m_index, aTo, aDatagram);
+  }
+  void LogFlow(const core::FlowDecision& /*aDecision*/) override {}
+  void LogEvent(const core::HostEvent& aEvent) override
+  {
+    if (m_fleet.m_traced >= 0) {
+      m_fleet.PrintTrace(HostName(m_index) + " " + std::string(aEvent.m_what) +
+                         " " + aEvent.m_detail);
+    }
+  }
+
+  Fleet& m_fleet;
+  int m_index;
+  std::unique_ptr<HostUnderTest> m_process;
+  std::uint64_t m_life = 0;
+  bool m_paused = false;
+  bool m_leaving = false;
+  base::Duration m_lag{ 0 };
+  std::deque<EventQueue::Action> m_inbox;
+  std::map<std::int64_t, std::size_t> m_controlBytes;
+};
+
+Fleet::Fleet(const Script& aScript,
+             Policy aPolicy,
+             const Site& aSite,
+             EventQueue& aQueue,
+             Measures& aMeasures,
+             std::uint64_t aSeed)
+  : m_script(aScript)
+  , m_policy(aPolicy)
+  , m_site(aSite)
+  , m_queue(aQueue)
+  , m_measures(aMeasures)
+  , m_random(aSeed)
+{
+  for (int i = 0; i < aScript.m_hosts; ++i) {
+    m_hosts.push_back(std::make_unique<Host>(*this, i));
+  }
+}
+
+Fleet::~Fleet() = default;
+
+// --- packets ----------------------------------------------------------------
+
+void
+Fleet::Spray(const TravellingPacket& aPacket)
+{
+  if (m_fabric.empty()) {
+    m_listener->OnLost(aPacket, "no host");
+    return;
+  }
+  std::uniform_int_distribution<std::size_t> pick(0, m_fabric.size() - 1);
+  const int host = m_fabric[pick(m_random)];
+  m_queue.After(CallerDelay(), [this, host, aPacket] {
+    DeliverPacket(host, aPacket, base::HostId{});
+  });
+}
+
+void
+Fleet::DeliverPacket(int aHost,
+                     const TravellingPacket& aPacket,
+                     base::HostId aFrom)
+{
+  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+  if (!host.m_process) {
+    m_listener->OnLost(aPacket, "host down");
+    return;
+  }
+  Run(aHost,
+      [this, aHost, aPacket, aFrom] { HandlePacket(aHost, aPacket, aFrom); });
+}
+
+void
+Fleet::HandlePacket(int aHost,
+                    const TravellingPacket& aPacket,
+                    base::HostId aFrom)
+{
+  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+  const auto now = m_queue.Now();
+  const core::PacketVerdict verdict =
+    aFrom.m_value == 0
+      ? host.m_process->OnPacket(*aPacket.m_bytes, now)
+      : host.m_process->OnRelayedPacket(*aPacket.m_bytes, aFrom, now);
+  m_measures.Count("packets");
+  if (aPacket.m_tag == m_traced) {
+    PrintTrace(HostName(aHost) + " verdict " +
+               std::to_string(static_cast<int>(verdict.m_action)) + " to " +
+               ToString(verdict.m_to) + " code " +
+               std::to_string(static_cast<int>(verdict.m_code)));
+  }
+  switch (verdict.m_action) {
+    case core::PacketAction::Forward:
+      m_listener->OnForwarded(aPacket, verdict.m_to, HostName(aHost));
+      break;
+    case core::PacketAction::Relay: {
+      m_measures.Count("packets_relayed");
+      const int to = HostAt(verdict.m_to.m_address);
+      if (to < 0 || IsCut(aHost, to) || IsLost()) {
+        m_listener->OnLost(aPacket, "relay lost");
+        break;
+      }
+      const base::HostId from = base::MakeHostId(HostName(aHost));
+      m_queue.After(LinkDelay(), [this, to, aPacket, from] {
+        DeliverPacket(to, aPacket, from);
+      });
+      break;
+    }
+    case core::PacketAction::Drop:
+      m_listener->OnLost(aPacket,
+                         "refused " + std::string(ToString(verdict.m_code)));
+      break;
+    case core::PacketAction::Consumed:
+      break;
+  }
+}
+
+void
+Fleet::SendToHost(int aHost, const request::Envelope& aEnvelope)
+{
+  Run(aHost, [this, aHost, aEnvelope] {
+    m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnBackend(
+      aEnvelope, m_queue.Now());
+  });
+}
+
+// --- links ------------------------------------------------------------------
+
+void
+Fleet::SendPeer(int aFrom,
+                const base::Endpoint& aTo,
+                const peer::Datagram& aDatagram)
+{
+  CountControl(aFrom, wire::EncodePeer(aDatagram).size() + kUdpIpHeaderBytes);
+  const int to = HostAt(aTo.m_address);
+  if (m_traced >= 0) {
+    const bool beat =
+      std::holds_alternative<peer::Heartbeat>(aDatagram.m_message);
+    const bool concerned = std::visit(
+      [&](const auto& aMessage) {
+        if constexpr (requires { aMessage.m_shard; }) {
+          return aMessage.m_shard == m_tracedShard;
+        }
+        return false;
+      },
+      aDatagram.m_message);
+    if (!beat && concerned) {
+      PrintTrace(HostName(aFrom) + " -> " + HostName(to) + " message " +
+                 std::to_string(aDatagram.m_message.index()));
+    }
+  }
+  if (to < 0 || IsCut(aFrom, to) || IsLost()) {
+    return;
+  }
+  m_queue.After(LinkDelay(), [this, to, aDatagram] {
+    Run(to, [this, to, aDatagram] {
+      m_hosts[static_cast<std::size_t>(to)]->m_process->OnPeer(aDatagram,
+                                                               m_queue.Now());
+    });
+  });
+}
+
+/// Runs `aAction` on a host's process, or keeps it while the host is paused.
+void
+Fleet::Run(int aHost, const EventQueue::Action& aAction)
+{
+  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+  if (!host.m_process) {
+    return;
+  }
+  if (host.m_paused) {
+    host.m_inbox.push_back(aAction);
+    return;
+  }
+  aAction();
+}
+
+void
+Fleet::CountControl(int aHost, std::size_t aBytes)
+{
+  const auto window = m_queue.Now().time_since_epoch() / kControlWindow;
+  m_hosts[static_cast<std::size_t>(aHost)]->m_controlBytes[window] += aBytes;
+}
+
+void
+Fleet::Cut(const std::set<int>& aLeft, const std::set<int>& aRight)
+{
+  for (const int left : aLeft) {
+    for (const int right : aRight) {
+      m_cut.insert({ left, right });
+      m_cut.insert({ right, left });
+    }
+  }
+}
+
+void
+Fleet::Heal()
+{
+  m_cut.clear();
+}
+
+bool
+Fleet::IsCut(int aFrom, int aTo) const
+{
+  return m_cut.contains({ aFrom, aTo });
+}
+
+int
+Fleet::HostAt(const base::Ipv4Address& aAddress) const
+{
+  for (int i = 0; i < Size(); ++i) {
+    if (HostAddress(i) == aAddress) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+base::Duration
+Fleet::LinkDelay()
+{
+  return Between(m_random, m_script.m_link.m_least, m_script.m_link.m_most);
+}
+
+base::Duration
+Fleet::CallerDelay()
+{
+  return Between(m_random, kLeastCallerDelay, kMostCallerDelay);
+}
+
+bool
+Fleet::IsLost()
+{
+  return std::uniform_real_distribution<double>(0, 1)(m_random) <
+         m_script.m_link.m_loss;
+}
+
+// --- platform ---------------------------------------------------------------
+
+void
+Fleet::DeliverBundle(int aHost)
+{
+  const auto delay = Between(m_random, kLeastConfigDelay, kMostConfigDelay) +
+                     m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
+  const std::string bytes = m_site.SignedBundle();
+  m_queue.After(delay, [this, aHost, bytes] {
+    if (!m_platformUp) {
+      return;
+    }
+    m_measures.Count("config_reads");
+    Run(aHost, [this, aHost, bytes] {
+      m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnBundle(
+        bytes, m_queue.Now());
+    });
+  });
+}
+
+void
+Fleet::DeliverList(int aHost)
+{
+  const auto delay = Between(m_random, kLeastConfigDelay, kMostConfigDelay) +
+                     m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
+  const core::HostList list = m_site.List();
+  m_queue.After(delay, [this, aHost, list] {
+    if (!m_platformUp) {
+      return;
+    }
+    Run(aHost, [this, aHost, list] {
+      m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnHostList(
+        list, m_queue.Now());
+    });
+  });
+}
+
+void
+Fleet::PublishBundle()
+{
+  for (int i = 0; i < Size(); ++i) {
+    DeliverBundle(i);
+  }
+}
+
+void
+Fleet::PublishList()
+{
+  for (int i = 0; i < Size(); ++i) {
+    DeliverList(i);
+  }
+}
+
+void
+Fleet::SetPlatformUp(bool aUp)
+{
+  m_platformUp = aUp;
+  if (aUp) {
+    PublishBundle();
+    PublishList();
+  }
+}
+
+// --- lives ------------------------------------------------------------------
+
+void
+Fleet::Start(int aHost)
+{
+  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+  if (host.m_process) {
+    return;
+  }
+  const auto& entry = m_site.List().m_hosts[static_cast<std::size_t>(aHost)];
+  host.m_process =
+    MakeHost(m_policy,
+             { entry.m_name, entry.m_zone, ++m_incarnation, { m_site.Key() } },
+             host);
+  ++host.m_life;
+  host.m_paused = false;
+  host.m_leaving = false;
+  host.m_inbox.clear();
+  m_fabric.push_back(aHost);
+  DeliverBundle(aHost);
+  DeliverList(aHost);
+  TickLater(aHost);
+}
+
+void
+Fleet::TickLater(int aHost)
+{
+  const std::uint64_t life = m_hosts[static_cast<std::size_t>(aHost)]->m_life;
+  m_queue.After(core::kTickInterval, [this, aHost, life] {
+    Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+    if (!host.m_process || host.m_life != life) {
+      return;
+    }
+    if (!host.m_paused) {
+      host.m_process->OnTick(m_queue.Now());
+    }
+    TickLater(aHost);
+  });
+}
+
+void
+Fleet::Kill(int aHost)
+{
+  m_hosts[static_cast<std::size_t>(aHost)]->m_process.reset();
+  m_queue.After(kFabricNotices, [this, aHost] {
+    if (!m_hosts[static_cast<std::size_t>(aHost)]->m_process) {
+      std::erase(m_fabric, aHost);
+    }
+  });
+}
+
+void
+Fleet::Stop(int aHost)
+{
+  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+  if (!host.m_process) {
+    return;
+  }
+  host.m_leaving = true;
+  host.m_process->BeginLeave(m_queue.Now());
+  m_queue.After(kFabricLearnsLeave,
+                [this, aHost] { std::erase(m_fabric, aHost); });
+  m_queue.After(kFabricLearnsLeave + kLeaveQuiet, [this, aHost] {
+    Host& leaver = *m_hosts[static_cast<std::size_t>(aHost)];
+    if (leaver.m_process && leaver.m_leaving) {
+      m_measures.Count("stops_undrained",
+                       leaver.m_process->IsDrained() ? 0 : 1);
+      leaver.m_process->FinishLeave(m_queue.Now());
+      leaver.m_process.reset();
+    }
+  });
+}
+
+void
+Fleet::Pause(int aHost, base::Duration aLength)
+{
+  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
+  host.m_paused = true;
+  const std::uint64_t life = host.m_life;
+  m_queue.After(aLength, [this, aHost, life] {
+    Host& woken = *m_hosts[static_cast<std::size_t>(aHost)];
+    if (!woken.m_process || woken.m_life != life) {
+      return;
+    }
+    woken.m_paused = false;
+    while (!woken.m_inbox.empty()) {
+      const auto action = std::move(woken.m_inbox.front());
+      woken.m_inbox.pop_front();
+      action();
+    }
+  });
+}
+
+void
+Fleet::SetLag(int aHost, base::Duration aLag)
+{
+  m_hosts[static_cast<std::size_t>(aHost)]->m_lag = aLag;
+}
+
+bool
+Fleet::IsSettled() const
+{
+  return std::ranges::all_of(m_hosts, [](const auto& aHost) {
+    return !aHost->m_process || aHost->m_process->IsReady();
+  });
+}
+
+const std::string&
+Fleet::ZoneOf(int aHost) const
+{
+  return m_site.List().m_hosts[static_cast<std::size_t>(aHost)].m_zone;
+}
+
+void
+Fleet::Summarize()
+{
+  constexpr double kSeconds = kControlWindow.count();
+  for (const auto& host : m_hosts) {
+    for (const auto& [window, bytes] : host->m_controlBytes) {
+      m_measures.Raise("control_bytes_per_second",
+                       static_cast<double>(bytes) / kSeconds);
+      m_measures.Count("control_bytes", static_cast<double>(bytes));
+    }
+  }
+}
+
+// --- trace ------------------------------------------------------------------
+
+void
+Fleet::Trace(std::int64_t aTag, const steering::ShardKey& aShard)
+{
+  m_traced = aTag;
+  m_tracedShard = aShard;
+}
+
+void
+Fleet::PrintTrace(const std::string& aText) const
+{
+  const auto at = std::chrono::duration_cast<milliseconds>(
+    m_queue.Now().time_since_epoch() - std::chrono::hours(1));
+  std::printf("trace %8.3fs %s\n",
+              static_cast<double>(at.count()) / 1000.0,
+              aText.c_str());
+}
+
+} // namespace wasabiloom::scenario
--- /dev/null
+++ b/scenario/Fleet.h
@@ -0,0 +1,145 @@
+/// The entry hosts of a scenario, the fabric before them and the links
+/// between them.
+#pragma once
+
+#include "EventQueue.h"
+#include "HostUnderTest.h"
+#include "Measures.h"
+#include "Site.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace wasabiloom::scenario {
+
+/// A packet on its way, with the number its sender knows it by.
+struct TravellingPacket
+{
+  std::shared_ptr<const std::vector<std::byte>> m_bytes;
+  std::int64_t m_tag = 0;
+};
+
+/// Hears what becomes of packets and datagrams.
+class FleetListener
+{
+public:
+  virtual ~FleetListener();
+
+  /// A host sent the packet to a backend server.
+  virtual void OnForwarded(const TravellingPacket& aPacket,
+                           const base::Endpoint& aTo,
+                           const std::string& aHost) = 0;
+
+  /// The packet will never arrive.
+  virtual void OnLost(const TravellingPacket& aPacket,
+                      const std::string& aWhy) = 0;
+
+  /// A host sent a request to a backend server.
+  virtual void OnBackendDatagram(const base::Endpoint& aTo,
+                                 const request::Envelope& aEnvelope,
+                                 int aHost) = 0;
+
+  /// A host sent a datagram to a caller.
+  virtual void OnCallerDatagram(const packet::FlowKey& aFlow,
+                                const request::Envelope& aEnvelope) = 0;
+};
+
+/// Hosts with their faults. One thread at a time.
+class Fleet
+{
+public:
+  /// The references must outlive the fleet.
+  Fleet(const Script& aScript,
+        Policy aPolicy,
+        const Site& aSite,
+        EventQueue& aQueue,
+        Measures& aMeasures,
+        std::uint64_t aSeed);
+  ~Fleet();
+
+  /// Sets who hears of packets. Call before the first packet.
+  void SetListener(FleetListener& aListener) { m_listener = &aListener; }
+
+  /// Prints what concerns `aTag` and its shard.
+  void Trace(std::int64_t aTag, const steering::ShardKey& aShard);
+
+  /// Hands a packet to a random host that the fabric believes live.
+  void Spray(const TravellingPacket& aPacket);
+
+  /// Hands a backend server's datagram to the host that asked.
+  void SendToHost(int aHost, const request::Envelope& aEnvelope);
+
+  /// Publishes the site's bundle, to reach each host after its lag.
+  void PublishBundle();
+
+  /// Publishes the site's host list likewise.
+  void PublishList();
+
+  /// Starts a host, new or again. Index from 0.
+  void Start(int aHost);
+  void Kill(int aHost);
+  void Stop(int aHost);
+  void Pause(int aHost, base::Duration aLength);
+  void SetLag(int aHost, base::Duration aLag);
+
+  /// Cuts every link between the two groups, in both directions.
+  void Cut(const std::set<int>& aLeft, const std::set<int>& aRight);
+  void Heal();
+
+  /// Whether the platform answers hosts.
+  void SetPlatformUp(bool aUp);
+
+  /// Whether every running host is ready.
+  bool IsSettled() const;
+  int Size() const { return static_cast<int>(m_hosts.size()); }
+  const std::string& ZoneOf(int aHost) const;
+
+  /// Adds the measures of control traffic.
+  void Summarize();
+
+private:
+  class Host;
+
+  void DeliverPacket(int aHost,
+                     const TravellingPacket& aPacket,
+                     base::HostId aFrom);
+  void HandlePacket(int aHost,
+                    const TravellingPacket& aPacket,
+                    base::HostId aFrom);
+  void SendPeer(int aFrom,
+                const base::Endpoint& aTo,
+                const peer::Datagram& aDatagram);
+  void Run(int aHost, const EventQueue::Action& aAction);
+  void TickLater(int aHost);
+  void CountControl(int aHost, std::size_t aBytes);
+  void PrintTrace(const std::string& aText) const;
+  bool IsCut(int aFrom, int aTo) const;
+  int HostAt(const base::Ipv4Address& aAddress) const;
+  base::Duration LinkDelay();
+  base::Duration CallerDelay();
+  bool IsLost();
+  void DeliverBundle(int aHost);
+  void DeliverList(int aHost);
+
+  const Script& m_script;
+  Policy m_policy;
+  const Site& m_site;
+  EventQueue& m_queue;
+  Measures& m_measures;
+  FleetListener* m_listener = nullptr;
+  std::mt19937_64 m_random;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  std::set<std::pair<int, int>> m_cut;
+  std::vector<int> m_fabric;
+  bool m_platformUp = true;
+  std::uint64_t m_incarnation = 0;
+  std::int64_t m_traced = -1;
+  steering::ShardKey m_tracedShard;
+};
+
+} // namespace wasabiloom::scenario
