--- a/scenario/EventQueue.h
+++ b/scenario/EventQueue.h
@@ -10,6 +10,15 @@
 
 namespace wasabiloom::scenario {
 
+/// When the virtual clock starts.
+constexpr base::Instant kClockStart{ std::chrono::hours(1) };
+
+/// Time given to the hosts to find each other before the scenario begins.
+constexpr base::Duration kWarmUp = std::chrono::seconds(5);
+
+/// Time zero of a scenario.
+constexpr base::Instant kScenarioStart = kClockStart + kWarmUp;
+
 /// Runs actions in the order of their time; equal times in the order in which
 /// they were added. One thread at a time.
 class EventQueue
@@ -51,7 +60,7 @@
     }
   };
 
-  base::Instant m_now{ std::chrono::hours(1) };
+  base::Instant m_now = kClockStart;
   std::uint64_t m_added = 0;
   std::priority_queue<Event> m_events;
 };
--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -3,6 +3,7 @@
 #include "wasabiloom/wire/PeerCodec.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <deque>
 
@@ -30,6 +31,16 @@
   return base::Duration(pick(aRandom));
 }
 
+std::string
+MessageName(const peer::Message& aMessage)
+{
+  static const std::array<const char*, std::variant_size_v<peer::Message>>
+    sNames = { "heartbeat", "propose",        "contribute",  "commit",
+               "ack",       "notice",         "stray",       "sync_request",
+               "sync",      "bundle_request", "bundle_reply" };
+  return sNames.at(aMessage.index());
+}
+
 } // namespace
 
 FleetListener::~FleetListener() = default;
@@ -142,8 +153,9 @@
       ? host.m_process->OnPacket(*aPacket.m_bytes, now)
       : host.m_process->OnRelayedPacket(*aPacket.m_bytes, aFrom, now);
   m_measures.Count("packets");
-  if (aPacket.m_tag == m_traced) {
-    PrintTrace(HostName(aHost) + " verdict " +
+  if (m_traced >= 0 && aPacket.m_tag / kTagKinds == m_traced) {
+    PrintTrace(HostName(aHost) + " packet kind " +
+               std::to_string(aPacket.m_tag % kTagKinds) + " action " +
                std::to_string(static_cast<int>(verdict.m_action)) + " to " +
                ToString(verdict.m_to) + " code " +
                std::to_string(static_cast<int>(verdict.m_code)));
@@ -190,7 +202,10 @@
                 const base::Endpoint& aTo,
                 const peer::Datagram& aDatagram)
 {
-  CountControl(aFrom, wire::EncodePeer(aDatagram).size() + kUdpIpHeaderBytes);
+  const auto bytes = wire::EncodePeer(aDatagram).size() + kUdpIpHeaderBytes;
+  CountControl(aFrom, bytes);
+  m_measures.Count("control_bytes_" + MessageName(aDatagram.m_message),
+                   static_cast<double>(bytes));
   const int to = HostAt(aTo.m_address);
   if (m_traced >= 0) {
     const bool beat =
@@ -204,8 +219,8 @@
       },
       aDatagram.m_message);
     if (!beat && concerned) {
-      PrintTrace(HostName(aFrom) + " -> " + HostName(to) + " message " +
-                 std::to_string(aDatagram.m_message.index()));
+      PrintTrace(HostName(aFrom) + " -> " + HostName(to) + " " +
+                 MessageName(aDatagram.m_message));
     }
   }
   if (to < 0 || IsCut(aFrom, to) || IsLost()) {
@@ -486,17 +501,17 @@
 // --- trace ------------------------------------------------------------------
 
 void
-Fleet::Trace(std::int64_t aTag, const steering::ShardKey& aShard)
+Fleet::Trace(std::int64_t aFlow, const steering::ShardKey& aShard)
 {
-  m_traced = aTag;
+  m_traced = aFlow;
   m_tracedShard = aShard;
 }
 
 void
 Fleet::PrintTrace(const std::string& aText) const
 {
-  const auto at = std::chrono::duration_cast<milliseconds>(
-    m_queue.Now().time_since_epoch() - std::chrono::hours(1));
+  const auto at =
+    std::chrono::duration_cast<milliseconds>(m_queue.Now() - kScenarioStart);
   std::printf("trace %8.3fs %s\n",
               static_cast<double>(at.count()) / 1000.0,
               aText.c_str());
--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -17,6 +17,10 @@
 
 namespace wasabiloom::scenario {
 
+/// Kinds of packets of one flow; a packet's tag is its flow's number times
+/// this, plus its kind.
+constexpr std::int64_t kTagKinds = 4;
+
 /// A packet on its way, with the number its sender knows it by.
 struct TravellingPacket
 {
@@ -65,8 +69,8 @@
   /// Sets who hears of packets. Call before the first packet.
   void SetListener(FleetListener& aListener) { m_listener = &aListener; }
 
-  /// Prints what concerns `aTag` and its shard.
-  void Trace(std::int64_t aTag, const steering::ShardKey& aShard);
+  /// Prints what concerns the flow `aFlow` and its shard.
+  void Trace(std::int64_t aFlow, const steering::ShardKey& aShard);
 
   /// Hands a packet to a random host that the fabric believes live.
   void Spray(const TravellingPacket& aPacket);
--- a/scenario/FlowLoad.cpp
+++ b/scenario/FlowLoad.cpp
@@ -19,12 +19,11 @@
 constexpr base::Duration kOpenInTime = milliseconds(1000);
 constexpr base::Duration kPromiseDelay = std::chrono::seconds(3);
 constexpr int kMaxLosses = 7;
-constexpr int kKinds = 4;
 
 std::int64_t
 TagOf(std::int64_t aFlow, TcpKind aKind)
 {
-  return (aFlow * kKinds) + static_cast<std::int64_t>(aKind);
+  return (aFlow * kTagKinds) + static_cast<std::int64_t>(aKind);
 }
 
 double
@@ -129,8 +128,8 @@
                       const base::Endpoint& aTo,
                       const std::string& aHost)
 {
-  const std::int64_t number = aTag / kKinds;
-  const auto kind = static_cast<TcpKind>(aTag % kKinds);
+  const std::int64_t number = aTag / kTagKinds;
+  const auto kind = static_cast<TcpKind>(aTag % kTagKinds);
   Flow& flow = m_flows[static_cast<std::size_t>(number)];
   std::string service;
   const bundle::Target* target = m_site.TargetAt(aTo, service);
@@ -177,6 +176,7 @@
   }
   flow.m_state = State::Open;
   flow.m_target = aTarget;
+  flow.m_givenUp = IsInZoneOut(aTarget);
   flow.m_losses = 0;
   m_measures.Count("flows_opened");
   const auto took = m_queue.Now() - flow.m_askedAt;
@@ -212,8 +212,8 @@
 void
 FlowLoad::OnLost(std::int64_t aTag, const std::string& aWhy)
 {
-  const std::int64_t number = aTag / kKinds;
-  const auto kind = static_cast<TcpKind>(aTag % kKinds);
+  const std::int64_t number = aTag / kTagKinds;
+  const auto kind = static_cast<TcpKind>(aTag % kTagKinds);
   Flow& flow = m_flows[static_cast<std::size_t>(number)];
   if (kind == TcpKind::Close || flow.m_state == State::Ended) {
     return;
@@ -236,15 +236,11 @@
 }
 
 bool
-FlowLoad::IsExcused(const Flow& aFlow) const
+FlowLoad::IsInZoneOut(const std::string& aTarget) const
 {
-  if (m_deadTargets.contains(aFlow.m_target)) {
-    return true;
-  }
-  const auto& services = m_site.Bundle().m_services;
-  for (const bundle::Service& service : services) {
+  for (const bundle::Service& service : m_site.Bundle().m_services) {
     for (const bundle::Target& target : service.m_targets) {
-      if (target.m_name == aFlow.m_target) {
+      if (target.m_name == aTarget) {
         return m_site.OutSince(target.m_zone).has_value();
       }
     }
@@ -252,6 +248,19 @@
   return false;
 }
 
+void
+FlowLoad::OnZonesChanged()
+{
+  std::map<std::string, bool> closed;
+  for (Flow& flow : m_flows) {
+    const auto [known, isNew] = closed.try_emplace(flow.m_target, false);
+    if (isNew) {
+      known->second = IsInZoneOut(flow.m_target);
+    }
+    flow.m_givenUp |= known->second;
+  }
+}
+
 void
 FlowLoad::Break(std::int64_t aFlow, const std::string& aHow)
 {
@@ -259,7 +268,7 @@
   if (flow.m_state == State::Ended) {
     return;
   }
-  if (IsExcused(flow)) {
+  if (flow.m_givenUp || m_deadTargets.contains(flow.m_target)) {
     m_measures.Count("flows_given_up");
   } else {
     m_measures.Count("flows_broken");
--- a/scenario/FlowLoad.h
+++ b/scenario/FlowLoad.h
@@ -39,6 +39,9 @@
   /// A backend server died: its flows are lost, not broken.
   void OnTargetKilled(const std::string& aTarget);
 
+  /// A zone may have been taken out: flows that end in it are given up.
+  void OnZonesChanged();
+
   /// Adds the measures of balance at the end of a run.
   void Summarize();
 
@@ -62,6 +65,7 @@
     base::Instant m_askedAt;
     base::Instant m_endsAt;
     int m_losses = 0;
+    bool m_givenUp = false;
   };
 
   void OpenNew(std::size_t aSpec);
@@ -72,9 +76,9 @@
                      const bundle::Target& aTarget,
                      const std::string& aService,
                      const std::string& aHost);
+  bool IsInZoneOut(const std::string& aTarget) const;
   void End(std::int64_t aFlow);
   void Break(std::int64_t aFlow, const std::string& aHow);
-  bool IsExcused(const Flow& aFlow) const;
   base::Duration RandomLife(const FlowSpec& aSpec);
   base::Duration RandomGap(const FlowSpec& aSpec);
 
--- a/scenario/Main.cpp
+++ b/scenario/Main.cpp
@@ -1,6 +1,7 @@
 /// Runs a scenario file and prints its measures. Exit codes: 0 every promise
 /// and expectation held, 1 one did not, 2 usage.
 
+#include "EventQueue.h"
 #include "Runner.h"
 
 #include "wasabiloom/base/Files.h"
@@ -41,11 +42,11 @@
 void
 PrintViolations(const Measures& aMeasures)
 {
-  constexpr double kStart = 3605;
   for (const auto& violation : aMeasures.Violations()) {
-    const std::chrono::duration<double> at = violation.m_at.time_since_epoch();
-    std::cout << "violation " << violation.m_promise << " at "
-              << at.count() - kStart << "s: " << violation.m_detail << "\n";
+    const std::chrono::duration<double> at =
+      violation.m_at - scenario::kScenarioStart;
+    std::cout << "violation " << violation.m_promise << " at " << at.count()
+              << "s: " << violation.m_detail << "\n";
   }
 }
 
--- a/scenario/Runner.cpp
+++ b/scenario/Runner.cpp
@@ -16,9 +16,6 @@
 using base::ResultCode;
 using Words = std::vector<std::string>;
 
-/// Time given to the hosts to find each other before the scenario begins.
-constexpr base::Duration kWarmUp = std::chrono::seconds(5);
-
 /// Everything that takes part in one run.
 class Run final : private FleetListener
 {
@@ -61,21 +58,20 @@
   }
 
 private:
-  static constexpr std::chrono::milliseconds kTraceStep{ 100 };
+  static constexpr std::chrono::milliseconds kTraceStep{ 10 };
 
   void StartTrace()
   {
-    if (m_traced < 0 ||
-        m_measures.Value("flows_asked") <= static_cast<double>(m_traced)) {
+    const double asked = m_measures.Value("flows_asked");
+    if (m_traced < 0 || asked <= static_cast<double>(m_traced)) {
       return;
     }
     const packet::FlowKey key = m_flows.KeyOf(m_traced);
     const std::uint64_t hash = packet::HashFlow(key);
     for (const bundle::Service& service : m_site.Bundle().m_services) {
       if (service.m_address == key.m_service) {
-        constexpr std::int64_t kDataKind = 1;
         m_fleet.Trace(
-          (m_traced * 4) + kDataKind,
+          m_traced,
           { steering::MakeServiceId(service.m_name), steering::ShardOf(hash) });
       }
     }
@@ -151,6 +147,7 @@
     if (!m_site.SetZone(aWords.at(1), state, m_queue.Now())) {
       m_problem = "expected a zone, found \"" + aWords.at(1) + "\"";
     }
+    m_flows.OnZonesChanged();
     PublishBundle();
   }
 
--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -15,6 +15,9 @@
 using peer::HostPhase;
 
 constexpr base::Duration kBundleAskInterval = std::chrono::milliseconds(300);
+
+/// How long the config service may lag behind a peer's bundle.
+constexpr base::Duration kConfigServiceGrace = std::chrono::milliseconds(600);
 constexpr base::HostId kNoHost{};
 
 std::uint64_t
@@ -65,7 +68,9 @@
 HostCore::HostCore(HostIdentity aIdentity, Effects& aEffects)
   : m_identity(std::move(aIdentity))
   , m_effects(aEffects)
-  , m_membership(base::MakeHostId(m_identity.m_name), *this)
+  , m_membership(base::MakeHostId(m_identity.m_name),
+                 m_identity.m_incarnation,
+                 *this)
 {
 }
 
@@ -107,13 +112,14 @@
                  base::HostId aRelayedFrom,
                  base::Instant aNow)
 {
+  NoticePause(aNow);
   const packet::ParsedPacket parsed = packet::ParsePacket(aPacket);
   if (parsed.m_code != ResultCode::Ok) {
     return Refuse(parsed.m_code);
   }
   const packet::PacketView& view = parsed.m_view;
   if (m_membership.Phase() == HostPhase::Joining && aRelayedFrom == kNoHost) {
-    return RelayTo(m_membership.OwnerOf(packet::HashFlow(view.m_flow)));
+    return RelayTo(m_membership.OwnerOf(packet::HashFlow(view.m_flow), 0));
   }
   ServiceRuntime* service = FindService(view.m_flow.m_service);
   if (service == nullptr) {
@@ -132,8 +138,10 @@
                            base::Instant aNow)
 {
   const std::uint64_t hash = packet::HashFlow(aView.m_flow);
+  const bool mayOpen =
+    aView.m_opens || aView.m_flow.m_service.m_protocol == packet::Protocol::Udp;
   const steering::Arrival arrival{ steering::FlowIdOf(hash),
-                                   aView.m_opens,
+                                   mayOpen,
                                    aRelayedFrom };
   steering::ShardAgent& shard = aService.Shard(steering::ShardOf(hash));
   const steering::SteerResult result = shard.Steer(arrival, aNow);
@@ -190,7 +198,7 @@
         return Refuse(ResultCode::EnvelopeMalformed);
       }
       const auto hash = RequestHash(aView.m_flow, envelope.m_id);
-      const base::HostId home = m_membership.OwnerOf(hash);
+      const base::HostId home = m_membership.OwnerOf(hash, 0);
       const bool leaving = m_membership.Phase() == HostPhase::Leaving;
       if (home != m_membership.Self() && (aRelayedFrom == kNoHost || leaving)) {
         return RelayTo(home);
@@ -304,6 +312,7 @@
 void
 HostCore::OnPeer(const peer::Datagram& aDatagram, base::Instant aNow)
 {
+  NoticePause(aNow);
   ++m_counters.m_peerMessages;
   const base::HostId from = aDatagram.m_from;
   if (!m_membership.Hear(from, aDatagram.m_incarnation, aNow)) {
@@ -397,10 +406,7 @@
 void
 HostCore::OnTick(base::Instant aNow)
 {
-  const bool started = m_tickedAt != base::Instant{};
-  if (started && aNow - m_tickedAt > kPauseLimit) {
-    OnWake(aNow);
-  }
+  NoticePause(aNow);
   m_tickedAt = aNow;
   m_membership.Tick(Versions(), aNow);
   RequestNewerBundle(aNow);
@@ -409,7 +415,22 @@
   const bool mayCreate =
     ready || (m_membership.HasListened(aNow) && !m_membership.HasReadyPeer());
   for (const auto& [id, service] : m_services) {
-    service->Tick(mayCreate && !m_mustRevalidate, m_bundle.m_version, aNow);
+    service->Tick(mayCreate && !m_mustRevalidate,
+                  m_membership.HasListened(aNow),
+                  m_bundle.m_version,
+                  aNow);
+  }
+}
+
+/// Every input asks first: what a paused process finds waiting for it must not
+/// be handled with what it knew before.
+void
+HostCore::NoticePause(base::Instant aNow)
+{
+  const bool started = m_tickedAt != base::Instant{};
+  if (started && aNow - m_tickedAt > kPauseLimit) {
+    m_tickedAt = aNow;
+    OnWake(aNow);
   }
 }
 
@@ -434,7 +455,7 @@
     m_mustRevalidate = false;
     if (m_membership.HasReadyPeer()) {
       for (const auto& [id, service] : m_services) {
-        service->ForgetTables();
+        service->RevalidateTables();
       }
     }
   }
@@ -473,7 +494,11 @@
   }
   const base::HostId peer =
     m_membership.PeerWithBundleAbove(m_bundle.m_version);
-  if (peer != kNoHost) {
+  if (peer == kNoHost) {
+    m_behindSince = aNow;
+    return;
+  }
+  if (aNow - m_behindSince >= kConfigServiceGrace) {
     m_bundleAskedAt = aNow;
     Send(peer, peer::BundleRequest{});
   }
--- a/src/wasabiloom/core/HostCore.h
+++ b/src/wasabiloom/core/HostCore.h
@@ -111,6 +111,7 @@
   void RequestNewerBundle(base::Instant aNow);
   void UpdatePhase(base::Instant aNow);
   void SetPhase(peer::HostPhase aPhase, base::Instant aNow);
+  void NoticePause(base::Instant aNow);
   void OnWake(base::Instant aNow);
   bool HasAllTables() const;
   peer::KnownVersions Versions() const;
@@ -140,6 +141,7 @@
   bool m_mustRevalidate = false;
   base::Instant m_tickedAt;
   base::Instant m_bundleAskedAt;
+  base::Instant m_behindSince;
 };
 
 } // namespace wasabiloom::core
--- a/src/wasabiloom/core/ServiceRuntime.cpp
+++ b/src/wasabiloom/core/ServiceRuntime.cpp
@@ -65,6 +65,7 @@
 
 void
 ServiceRuntime::Tick(bool aMayCreate,
+                     bool aMayAsk,
                      std::uint64_t aBundleVersion,
                      base::Instant aNow)
 {
@@ -73,7 +74,7 @@
     return;
   }
   for (const auto& shard : m_shards) {
-    shard->Tick(aMayCreate, aBundleVersion, aNow);
+    shard->Tick(aMayCreate, aMayAsk, aBundleVersion, aNow);
   }
 }
 
@@ -81,15 +82,15 @@
 ServiceRuntime::HasTables() const
 {
   return !UsesTables() || std::ranges::all_of(m_shards, [](const auto& aShard) {
-    return aShard->State().m_hasTable;
+    return aShard->State().IsUsable();
   });
 }
 
 void
-ServiceRuntime::ForgetTables()
+ServiceRuntime::RevalidateTables()
 {
   for (const auto& shard : m_shards) {
-    shard->ForgetTable();
+    shard->RevalidateTable();
   }
 }
 
--- a/src/wasabiloom/core/ServiceRuntime.h
+++ b/src/wasabiloom/core/ServiceRuntime.h
@@ -31,13 +31,17 @@
   void SetLeaving(const std::vector<std::string>& aNames);
 
   /// Drives table changes and requests.
-  void Tick(bool aMayCreate, std::uint64_t aBundleVersion, base::Instant aNow);
+  /// See ShardAgent::Tick.
+  void Tick(bool aMayCreate,
+            bool aMayAsk,
+            std::uint64_t aBundleVersion,
+            base::Instant aNow);
 
   /// Whether every shard has a table. True for services in request mode.
   bool HasTables() const;
 
-  /// Drops the tables, to be fetched anew.
-  void ForgetTables();
+  /// Stops using the tables until peers have confirmed or replaced them.
+  void RevalidateTables();
 
   /// Whether a change started by this host is under way.
   bool IsBusy() const;
--- a/src/wasabiloom/peer/HostView.h
+++ b/src/wasabiloom/peer/HostView.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "wasabiloom/base/HostId.h"
+#include "wasabiloom/base/Time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -20,16 +22,32 @@
   /// Whether `aHost` is this host or has been heard lately.
   virtual bool IsLive(base::HostId aHost) const = 0;
 
+  /// Whether the process of `aHost` with that incarnation, and no successor,
+  /// is live.
+  virtual bool IsLiveProcess(base::HostId aHost,
+                             std::uint64_t aIncarnation) const = 0;
+
+  /// Incarnation of this process.
+  virtual std::uint64_t Incarnation() const = 0;
+
   /// All live hosts but this one, in ascending order.
   virtual const std::vector<base::HostId>& LivePeers() const = 0;
 
-  /// Owner of the item with hash `aHash`: the ready host with the highest
-  /// score; among joining hosts where none is ready.
-  virtual base::HostId OwnerOf(std::uint64_t aHash) const = 0;
-
-  /// Host that would own `aHash` if this host did not exist; this host when
-  /// it is alone.
-  virtual base::HostId BackupOf(std::uint64_t aHash) const = 0;
+  /// Owner of member `aMember` of the group with hash `aGroup`. The ready
+  /// hosts, or the joining ones where none is ready, are ranked by their score
+  /// for the group and take its members in turn, so that a group's members
+  /// are spread evenly.
+  virtual base::HostId OwnerOf(std::uint64_t aGroup,
+                               std::size_t aMember) const = 0;
+
+  /// Host that would own the member if this host did not exist; this host
+  /// when it is alone.
+  virtual base::HostId BackupOf(std::uint64_t aGroup,
+                                std::size_t aMember) const = 0;
+
+  /// When a peer last died, left or restarted: the flows that it alone had
+  /// seen are known to nobody since.
+  virtual base::Instant LastDeparture() const = 0;
 
   /// Rises whenever any of the other answers may have changed.
   virtual std::uint64_t Generation() const = 0;
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -1,32 +1,39 @@
 #include "wasabiloom/peer/Membership.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace wasabiloom::peer {
 
 namespace {
 
-base::HostId
-BestOf(const std::vector<base::HostId>& aCandidates,
-       std::uint64_t aHash,
-       base::HostId aExcept)
+/// The candidates but for `aExcept`, best score for `aHash` first.
+std::vector<base::HostId>
+RankFor(const std::vector<base::HostId>& aCandidates,
+        std::uint64_t aHash,
+        base::HostId aExcept)
 {
-  base::HostId best;
-  std::uint64_t bestScore = 0;
+  std::vector<std::pair<std::uint64_t, base::HostId>> scored;
   for (const base::HostId host : aCandidates) {
-    const std::uint64_t score = base::Combine(aHash, host.m_value);
-    if (host != aExcept && (best.m_value == 0 || score > bestScore)) {
-      best = host;
-      bestScore = score;
+    if (host != aExcept) {
+      scored.emplace_back(base::Combine(aHash, host.m_value), host);
     }
   }
-  return best;
+  std::ranges::sort(scored, std::greater<>());
+  std::vector<base::HostId> ranked;
+  for (const auto& [score, host] : scored) {
+    ranked.push_back(host);
+  }
+  return ranked;
 }
 
 } // namespace
 
-Membership::Membership(base::HostId aSelf, Outbox& aOutbox)
+Membership::Membership(base::HostId aSelf,
+                       std::uint64_t aIncarnation,
+                       Outbox& aOutbox)
   : m_self(aSelf)
+  , m_incarnation(aIncarnation)
   , m_outbox(aOutbox)
 {
   Refresh();
@@ -42,6 +49,17 @@
   return found != m_peers.end() && found->second.m_live;
 }
 
+bool
+Membership::IsLiveProcess(base::HostId aHost, std::uint64_t aIncarnation) const
+{
+  if (aHost == m_self) {
+    return aIncarnation == m_incarnation;
+  }
+  const auto found = m_peers.find(aHost);
+  return found != m_peers.end() && found->second.m_live &&
+         found->second.m_incarnation == aIncarnation;
+}
+
 const std::vector<base::HostId>&
 Membership::LivePeers() const
 {
@@ -49,16 +67,17 @@
 }
 
 base::HostId
-Membership::OwnerOf(std::uint64_t aHash) const
+Membership::OwnerOf(std::uint64_t aGroup, std::size_t aMember) const
 {
-  return BestOf(m_candidates, aHash, base::HostId{});
+  const auto ranked = RankFor(m_candidates, aGroup, base::HostId{});
+  return ranked[aMember % ranked.size()];
 }
 
 base::HostId
-Membership::BackupOf(std::uint64_t aHash) const
+Membership::BackupOf(std::uint64_t aGroup, std::size_t aMember) const
 {
-  const base::HostId best = BestOf(m_candidates, aHash, m_self);
-  return best.m_value == 0 ? m_self : best;
+  const auto ranked = RankFor(m_candidates, aGroup, m_self);
+  return ranked.empty() ? m_self : ranked[aMember % ranked.size()];
 }
 
 std::vector<base::HostId>
@@ -133,6 +152,7 @@
     peer.m_phase = HostPhase::Joining;
     peer.m_hearsMe = false;
     peer.m_bundleVersion = 0;
+    m_lastDeparture = peer.m_live ? aNow : m_lastDeparture;
     peer.m_live = false;
   }
   peer.m_heardAt = aNow;
@@ -148,13 +168,15 @@
 {
   Peer& peer = m_peers.at(aFrom);
   peer.m_bundleVersion = aHeartbeat.m_bundleVersion;
-  peer.m_hearsMe =
-    std::ranges::find(aHeartbeat.m_hears, m_self) != aHeartbeat.m_hears.end();
+  peer.m_hearsMe = aHeartbeat.m_hearsReceiver;
   if (peer.m_phase == aHeartbeat.m_phase) {
     return;
   }
   peer.m_phase = aHeartbeat.m_phase;
-  peer.m_live = peer.m_phase != HostPhase::Left;
+  if (peer.m_phase == HostPhase::Left) {
+    peer.m_live = false;
+    m_lastDeparture = peer.m_heardAt;
+  }
   Refresh();
 }
 
@@ -176,6 +198,7 @@
     if (peer.m_live && aNow - peer.m_heardAt > kPeerTimeout) {
       peer.m_live = false;
       peer.m_hearsMe = false;
+      m_lastDeparture = aNow;
       changed = true;
     }
   }
@@ -191,8 +214,8 @@
   heartbeat.m_phase = m_phase;
   heartbeat.m_bundleVersion = aVersions.m_bundle;
   heartbeat.m_listRevision = aVersions.m_list;
-  heartbeat.m_hears = m_live;
   for (const auto& [host, peer] : m_peers) {
+    heartbeat.m_hearsReceiver = peer.m_live;
     m_outbox.Send(host, heartbeat);
   }
 }
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -43,13 +43,19 @@
 {
 public:
   /// `aOutbox` must outlive the membership.
-  Membership(base::HostId aSelf, Outbox& aOutbox);
+  Membership(base::HostId aSelf, std::uint64_t aIncarnation, Outbox& aOutbox);
 
   base::HostId Self() const override { return m_self; }
   bool IsLive(base::HostId aHost) const override;
+  bool IsLiveProcess(base::HostId aHost,
+                     std::uint64_t aIncarnation) const override;
+  std::uint64_t Incarnation() const override { return m_incarnation; }
   const std::vector<base::HostId>& LivePeers() const override;
-  base::HostId OwnerOf(std::uint64_t aHash) const override;
-  base::HostId BackupOf(std::uint64_t aHash) const override;
+  base::HostId OwnerOf(std::uint64_t aGroup,
+                       std::size_t aMember) const override;
+  base::HostId BackupOf(std::uint64_t aGroup,
+                        std::size_t aMember) const override;
+  base::Instant LastDeparture() const override { return m_lastDeparture; }
   std::uint64_t Generation() const override { return m_generation; }
 
   /// Adopts the host list; this host's own entry is passed over. Peers that
@@ -109,6 +115,7 @@
   std::vector<base::HostId> Candidates() const;
 
   base::HostId m_self;
+  std::uint64_t m_incarnation;
   Outbox& m_outbox;
   HostPhase m_phase = HostPhase::Joining;
   std::map<base::HostId, Peer> m_peers;
@@ -118,6 +125,7 @@
   bool m_hasList = false;
   base::Instant m_listenSince;
   base::Instant m_sentAt;
+  base::Instant m_lastDeparture;
 };
 
 } // namespace wasabiloom::peer
--- a/src/wasabiloom/peer/Messages.h
+++ b/src/wasabiloom/peer/Messages.h
@@ -28,8 +28,8 @@
   HostPhase m_phase = HostPhase::Joining;
   std::uint64_t m_bundleVersion = 0;
   std::uint64_t m_listRevision = 0;
-  /// Hosts the sender has heard lately.
-  std::vector<base::HostId> m_hears;
+  /// Whether the sender has heard the receiver lately.
+  bool m_hearsReceiver = false;
 
   friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
 };
@@ -40,6 +40,8 @@
   steering::ShardKey m_shard;
   steering::TableVersion m_version;
   steering::TableVersion m_basis;
+  /// Process that opened the window; its successor does not own it.
+  std::uint64_t m_ownerIncarnation = 0;
   bool m_takeover = false;
   std::vector<steering::RowMove> m_moves;
   /// Flows of the moving rows that the owner knows.
@@ -92,10 +94,26 @@
                           const PlacementNotice&) = default;
 };
 
-/// Asks for the whole state of a shard.
+/// Flows the sender has seen on another backend server than the table it just
+/// adopted says: it was not heard when the table changed.
+struct StrayFlows
+{
+  steering::ShardKey m_shard;
+  std::vector<steering::PinnedFlow> m_flows;
+
+  friend auto operator<=>(const StrayFlows&, const StrayFlows&) = default;
+};
+
+/// Asks for the whole state of a shard, unless the sender has it already.
 struct SyncRequest
 {
   steering::ShardKey m_shard;
+  /// Version the sender has committed; zero when it has no table.
+  steering::TableVersion m_committed;
+  /// Version of the window the sender has open; zero when none is.
+  steering::TableVersion m_window;
+  /// Whether the sender wants an answer even when it is up to date.
+  bool m_confirm = false;
 
   friend auto operator<=>(const SyncRequest&, const SyncRequest&) = default;
 };
@@ -133,6 +151,7 @@
                              Commit,
                              CommitAck,
                              PlacementNotice,
+                             StrayFlows,
                              SyncRequest,
                              Sync,
                              BundleRequest,
--- a/src/wasabiloom/steering/ShardAgent.cpp
+++ b/src/wasabiloom/steering/ShardAgent.cpp
@@ -27,6 +27,13 @@
 {
 }
 
+base::HostId
+ShardAgent::CurrentOwner() const
+{
+  const ShardKey& key = m_state.Key();
+  return m_view.OwnerOf(HashService(key.m_service), key.m_shard);
+}
+
 SteerResult
 ShardAgent::Steer(const Arrival& aArrival, base::Instant aNow)
 {
@@ -46,9 +53,8 @@
 SteerResult
 ShardAgent::Decide(const Arrival& aArrival) const
 {
-  if (!m_state.m_hasTable) {
-    const auto owner = m_view.OwnerOf(HashShard(m_state.Key()));
-    return RelayTo(owner, SteerReason::RelayNotReady, aArrival);
+  if (!m_state.IsUsable()) {
+    return RelayTo(CurrentOwner(), SteerReason::RelayNotReady, aArrival);
   }
   if (m_state.m_window &&
       m_state.m_window->m_rows.test(aArrival.m_flow.m_row)) {
@@ -71,22 +77,30 @@
   if (slot != kNoSlot) {
     return ForwardTo(slot, SteerReason::WindowKnown, aArrival);
   }
-  if (window.m_version.m_owner == m_view.Self()) {
+  if (IsOwnWindow()) {
     return DecideAsWindowOwner(aArrival);
   }
-  base::HostId owner = window.m_version.m_owner;
-  if (!m_view.IsLive(owner)) {
-    owner = m_view.OwnerOf(HashShard(m_state.Key()));
-  }
+  const base::HostId owner =
+    m_view.IsLiveProcess(window.m_version.m_owner, window.m_ownerIncarnation)
+      ? window.m_version.m_owner
+      : CurrentOwner();
   return RelayTo(owner, SteerReason::RelayToWindowOwner, aArrival);
 }
 
-/// Until the switch, the old default is right for every flow nobody told of.
-/// After a takeover it may not be: the lost owner may have switched.
+/// Until the switch nobody has opened a flow on the new default, so the old
+/// one is right for every flow nobody told of; after a takeover it may not be,
+/// since the lost owner may have switched. From the switch on, every flow on
+/// the new default is one that this host has placed, so a packet that opens
+/// nothing belongs to an old flow.
 SteerResult
 ShardAgent::DecideAsWindowOwner(const Arrival& aArrival) const
 {
-  if (m_state.m_window->m_takeover) {
+  const Window& window = *m_state.m_window;
+  if (window.m_switched && aArrival.m_opens) {
+    const TargetSlot slot = window.NewTarget(aArrival.m_flow.m_row);
+    return ForwardTo(slot, SteerReason::WindowNewDefault, aArrival);
+  }
+  if (window.m_takeover && !window.m_switched) {
     return Drop(SteerReason::DropNotReady);
   }
   const ShardTable::Found found = m_state.m_table.Lookup(aArrival.m_flow);
@@ -103,8 +117,7 @@
   }
   const TargetInfo& target = m_state.Directory().At(aSlot);
   if (!target.m_known) {
-    const auto owner = m_view.OwnerOf(HashShard(m_state.Key()));
-    return RelayTo(owner, SteerReason::RelayUnknownTarget, aArrival);
+    return RelayTo(CurrentOwner(), SteerReason::RelayUnknownTarget, aArrival);
   }
   if (!target.m_takesPackets) {
     return Drop(SteerReason::DropTargetClosed);
@@ -131,9 +144,8 @@
 {
   const FlowId& flow = aArrival.m_flow;
   aResult.m_isNew = m_state.m_flows.Put(flow, aResult.m_slot, ToSeconds(aNow));
-  const bool ownWindow = m_state.m_window &&
-                         m_state.m_window->m_version.m_owner == m_view.Self() &&
-                         m_state.m_window->m_rows.test(flow.m_row);
+  const bool ownWindow =
+    IsOwnWindow() && m_state.m_window->m_rows.test(flow.m_row);
   const bool atRisk = ownWindow || m_owner.IsCommitting(flow.m_row);
   const bool wanted = aResult.m_isNew || aArrival.m_relayedFrom != kNoHost;
   if (atRisk && wanted) {
@@ -147,7 +159,8 @@
 {
   base::HostId to = aArrival.m_relayedFrom;
   if (to == kNoHost) {
-    to = m_view.BackupOf(HashShard(m_state.Key()));
+    const ShardKey& key = m_state.Key();
+    to = m_view.BackupOf(HashService(key.m_service), key.m_shard);
   }
   if (to == m_view.Self()) {
     return;
@@ -176,9 +189,9 @@
 void
 ShardAgent::OnMessage(base::HostId aFrom,
                       const peer::Commit& aMessage,
-                      base::Instant /*aNow*/)
+                      base::Instant aNow)
 {
-  m_follower.OnCommit(aFrom, aMessage);
+  m_follower.OnCommit(aFrom, aMessage, aNow);
 }
 
 void
@@ -207,10 +220,23 @@
 
 void
 ShardAgent::OnMessage(base::HostId aFrom,
-                      const peer::SyncRequest& /*aMessage*/,
+                      const peer::StrayFlows& aMessage,
+                      base::Instant /*aNow*/)
+{
+  const base::HostId owner = CurrentOwner();
+  if (owner == m_view.Self()) {
+    m_owner.AddStrays(aMessage.m_flows);
+  } else if (owner != aFrom) {
+    m_outbox.Send(owner, aMessage);
+  }
+}
+
+void
+ShardAgent::OnMessage(base::HostId aFrom,
+                      const peer::SyncRequest& aMessage,
                       base::Instant /*aNow*/)
 {
-  m_follower.OnSyncRequest(aFrom);
+  m_follower.OnSyncRequest(aFrom, aMessage);
 }
 
 void
@@ -223,18 +249,23 @@
 
 void
 ShardAgent::Tick(bool aMayCreate,
+                 bool aMayAsk,
                  std::uint64_t aBundleVersion,
                  base::Instant aNow)
 {
-  const base::HostId owner = m_view.OwnerOf(HashShard(m_state.Key()));
   if (m_viewGeneration != m_view.Generation()) {
     m_viewGeneration = m_view.Generation();
+    m_currentOwner = CurrentOwner();
     m_owner.RequestPlan();
   }
-  m_owns = owner == m_view.Self();
-  const bool mayAct = m_owns && (m_state.m_hasTable || aMayCreate);
-  m_owner.Tick(mayAct, aBundleVersion, aNow);
-  m_follower.Tick(owner, aNow);
+  const bool owns = m_currentOwner == m_view.Self();
+  const bool mayAct = owns && (m_state.m_hasTable || aMayCreate);
+  if (m_state.m_confirmed) {
+    m_owner.Tick(mayAct, aBundleVersion, aNow);
+  }
+  if (aMayAsk) {
+    m_follower.Tick(m_currentOwner, aNow);
+  }
   if (aNow - m_sweptAt >= kSweepInterval) {
     m_sweptAt = aNow;
     m_state.DropIdleFlows(aNow);
@@ -242,10 +273,18 @@
 }
 
 void
-ShardAgent::ForgetTable()
+ShardAgent::RevalidateTable()
+{
+  m_state.m_confirmed = false;
+}
+
+/// Whether this very process opened the window.
+bool
+ShardAgent::IsOwnWindow() const
 {
-  m_owner.Abandon();
-  m_state.ForgetTable();
+  return m_state.m_window &&
+         m_state.m_window->m_version.m_owner == m_view.Self() &&
+         m_state.m_window->m_ownerIncarnation == m_view.Incarnation();
 }
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/ShardAgent.h
+++ b/src/wasabiloom/steering/ShardAgent.h
@@ -44,6 +44,9 @@
   void OnMessage(base::HostId aFrom,
                  const peer::PlacementNotice& aMessage,
                  base::Instant aNow);
+  void OnMessage(base::HostId aFrom,
+                 const peer::StrayFlows& aMessage,
+                 base::Instant aNow);
   void OnMessage(base::HostId aFrom,
                  const peer::SyncRequest& aMessage,
                  base::Instant aNow);
@@ -52,19 +55,25 @@
                  base::Instant aNow);
 
   /// Drives changes. `aMayCreate` tells whether a missing table may be
-  /// created rather than awaited.
-  void Tick(bool aMayCreate, std::uint64_t aBundleVersion, base::Instant aNow);
+  /// created rather than awaited, `aMayAsk` whether peers had time to show
+  /// themselves, so that it is known whom to ask.
+  void Tick(bool aMayCreate,
+            bool aMayAsk,
+            std::uint64_t aBundleVersion,
+            base::Instant aNow);
 
   /// Tells that the directory changed.
   void OnDirectoryChanged() { m_owner.RequestPlan(); }
 
-  /// Forgets the table, to be fetched anew from a peer.
-  void ForgetTable();
+  /// Stops using the table until a peer has confirmed or replaced it.
+  void RevalidateTable();
 
   const ShardState& State() const { return m_state; }
   bool IsBusy() const { return m_owner.IsBusy(); }
 
 private:
+  base::HostId CurrentOwner() const;
+  bool IsOwnWindow() const;
   SteerResult Decide(const Arrival& aArrival) const;
   SteerResult DecideMoving(const Arrival& aArrival) const;
   SteerResult DecideAsWindowOwner(const Arrival& aArrival) const;
@@ -85,7 +94,7 @@
   ShardOwner m_owner;
   ShardFollower m_follower;
   std::uint64_t m_viewGeneration = 0;
-  bool m_owns = false;
+  base::HostId m_currentOwner;
   base::Instant m_sweptAt;
 };
 
--- a/src/wasabiloom/steering/ShardFollower.cpp
+++ b/src/wasabiloom/steering/ShardFollower.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr base::Duration kAskInterval = std::chrono::milliseconds(200);
-constexpr base::Duration kWindowPatience = std::chrono::seconds(1);
+constexpr base::Duration kWindowPatience = std::chrono::seconds(2);
+constexpr base::Duration kStuckAskInterval = std::chrono::seconds(10);
 
 bool
 IsPlausible(const peer::Sync& aSync)
@@ -35,8 +36,8 @@
 {
   m_owner.Observe(aMessage.m_version);
   const TableVersion& committed = m_state.m_table.Version();
-  if (!m_state.m_hasTable || committed < aMessage.m_basis) {
-    m_outbox.Send(aFrom, peer::SyncRequest{ m_state.Key() });
+  if (!m_state.IsUsable() || committed < aMessage.m_basis) {
+    m_outbox.Send(aFrom, m_state.MakeSyncRequest());
     return;
   }
   if (committed >= aMessage.m_version || committed > aMessage.m_basis) {
@@ -86,7 +87,9 @@
 }
 
 void
-ShardFollower::OnCommit(base::HostId aFrom, const peer::Commit& aMessage)
+ShardFollower::OnCommit(base::HostId aFrom,
+                        const peer::Commit& aMessage,
+                        base::Instant aNow)
 {
   m_owner.Observe(aMessage.m_version);
   const bool expected =
@@ -96,7 +99,7 @@
       const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
       m_state.m_window->m_known.Put(flow.m_flow, slot, 0);
     }
-    m_state.ApplyWindow();
+    m_state.ApplyWindow(aNow);
     m_owner.RequestPlan();
   }
   if (m_state.m_hasTable && m_state.m_table.Version() >= aMessage.m_version) {
@@ -104,13 +107,20 @@
     m_outbox.Send(aFrom, ack);
     return;
   }
-  m_outbox.Send(aFrom, peer::SyncRequest{ m_state.Key() });
+  m_outbox.Send(aFrom, m_state.MakeSyncRequest());
 }
 
 void
-ShardFollower::OnSyncRequest(base::HostId aFrom)
+ShardFollower::OnSyncRequest(base::HostId aFrom,
+                             const peer::SyncRequest& aMessage)
 {
-  if (m_state.m_hasTable) {
+  if (!m_state.IsUsable()) {
+    return;
+  }
+  const peer::SyncRequest own = m_state.MakeSyncRequest();
+  const bool current = aMessage.m_committed == own.m_committed &&
+                       aMessage.m_window == own.m_window;
+  if (!current || aMessage.m_confirm) {
     m_outbox.Send(aFrom, m_state.Describe());
   }
 }
@@ -125,22 +135,37 @@
     return;
   }
   const TableVersion current = m_state.m_table.Version();
+  m_state.m_confirmed = true;
   if (!m_state.m_hasTable || aMessage.m_version > current) {
     m_owner.Abandon();
-    m_state.AdoptTable(aMessage);
+    const auto strays = m_state.AdoptTable(aMessage, aNow);
+    if (!strays.empty()) {
+      m_outbox.Send(aFrom, peer::StrayFlows{ m_state.Key(), strays });
+    }
     m_owner.RequestPlan();
   } else if (aMessage.m_version < current) {
     return;
   }
-  if (aMessage.m_window) {
-    if (aMessage.m_window->m_version.m_owner != m_view.Self()) {
-      OnPropose(aMessage.m_window->m_version.m_owner, *aMessage.m_window, aNow);
+  AdoptWindow(aFrom, aMessage, aNow);
+}
+
+/// Precondition: the table has the version of `aMessage`.
+void
+ShardFollower::AdoptWindow(base::HostId aFrom,
+                           const peer::Sync& aMessage,
+                           base::Instant aNow)
+{
+  if (!aMessage.m_window) {
+    if (m_state.m_window && m_state.m_window->m_version.m_owner == aFrom) {
+      m_state.m_window.reset();
+      m_owner.RequestPlan();
     }
     return;
   }
-  if (m_state.m_window && m_state.m_window->m_version.m_owner == aFrom) {
-    m_state.m_window.reset();
-    m_owner.RequestPlan();
+  const TableVersion& version = aMessage.m_window->m_version;
+  const bool known = m_state.m_window && m_state.m_window->m_version == version;
+  if (!known) {
+    OnPropose(version.m_owner, *aMessage.m_window, aNow);
   }
 }
 
@@ -149,10 +174,10 @@
 {
   const bool stuck = m_state.m_window && !m_owner.IsBusy() &&
                      aNow - m_windowSince >= kWindowPatience;
-  if (m_state.m_hasTable && !stuck) {
+  if (m_state.IsUsable() && !stuck) {
     return;
   }
-  if (aNow - m_askedAt < kAskInterval) {
+  if (aNow - m_askedAt < (stuck ? kStuckAskInterval : kAskInterval)) {
     return;
   }
   m_askedAt = aNow;
@@ -161,7 +186,7 @@
     asked = m_state.m_window->m_version.m_owner;
   }
   if (asked != m_view.Self()) {
-    m_outbox.Send(asked, peer::SyncRequest{ m_state.Key() });
+    m_outbox.Send(asked, m_state.MakeSyncRequest());
   }
 }
 
--- a/src/wasabiloom/steering/ShardFollower.h
+++ b/src/wasabiloom/steering/ShardFollower.h
@@ -22,8 +22,10 @@
   void OnPropose(base::HostId aFrom,
                  const peer::Propose& aMessage,
                  base::Instant aNow);
-  void OnCommit(base::HostId aFrom, const peer::Commit& aMessage);
-  void OnSyncRequest(base::HostId aFrom);
+  void OnCommit(base::HostId aFrom,
+                const peer::Commit& aMessage,
+                base::Instant aNow);
+  void OnSyncRequest(base::HostId aFrom, const peer::SyncRequest& aMessage);
   void OnSync(base::HostId aFrom,
               const peer::Sync& aMessage,
               base::Instant aNow);
@@ -36,6 +38,9 @@
   void Accept(base::HostId aFrom,
               const peer::Propose& aMessage,
               base::Instant aNow);
+  void AdoptWindow(base::HostId aFrom,
+                   const peer::Sync& aMessage,
+                   base::Instant aNow);
   void Refuse(base::HostId aFrom, const TableVersion& aHighest);
 
   ShardState& m_state;
--- a/src/wasabiloom/steering/ShardOwner.cpp
+++ b/src/wasabiloom/steering/ShardOwner.cpp
@@ -1,6 +1,7 @@
 #include "wasabiloom/steering/ShardOwner.h"
 
 #include <algorithm>
+#include <array>
 
 namespace wasabiloom::steering {
 
@@ -8,6 +9,15 @@
 
 constexpr base::Duration kResendInterval = std::chrono::milliseconds(200);
 
+/// How long after a departure the flows of the departed host may stay silent
+/// without being lost.
+constexpr base::Duration kDepartureMemory = std::chrono::seconds(60);
+
+/// Moves that only improve the balance are spread over time, so that control
+/// traffic stays small and a returning backend server fills gradually.
+constexpr base::Duration kPacedInterval = std::chrono::seconds(4);
+constexpr std::size_t kPacedFlows = 64;
+
 } // namespace
 
 ShardOwner::ShardOwner(ShardState& aState,
@@ -55,41 +65,91 @@
 ShardOwner::StartIfDue(base::Instant aNow)
 {
   const bool orphaned =
-    m_state.m_window && !m_view.IsLive(m_state.m_window->m_version.m_owner);
+    m_state.m_window &&
+    !m_view.IsLiveProcess(m_state.m_window->m_version.m_owner,
+                          m_state.m_window->m_ownerIncarnation);
   if (m_state.m_window && !orphaned) {
     return;
   }
-  if (!orphaned && !m_planDue) {
+  const bool delayed = m_planAt != base::Instant{} && aNow >= m_planAt;
+  if (!orphaned && !m_planDue && !delayed) {
     return;
   }
   m_planDue = false;
-  auto moves = MovesDue(orphaned);
+  m_planAt = {};
+  auto moves = MovesDue(orphaned, aNow);
   if (!moves.empty()) {
     Start(std::move(moves), orphaned, aNow);
   }
 }
 
-/// Planned moves; with a takeover also every row the lost owner had closed.
+/// Whether the row's default takes no new flows.
+bool
+ShardOwner::IsUrgent(const ShardTable& aTable, const SlotMove& aMove) const
+{
+  const TargetSlot current = aTable.RowTarget(aMove.m_row);
+  return current == kNoSlot || !m_state.Directory().At(current).m_takesNew;
+}
+
+/// All urgent moves, and as many of the others as are due.
 std::vector<SlotMove>
-ShardOwner::MovesDue(bool aTakeover) const
+ShardOwner::Pace(const std::vector<SlotMove>& aMoves, base::Instant aNow)
 {
-  auto moves = PlanMoves(m_state.Key(), m_state.m_table, m_state.Directory());
-  if (!aTakeover) {
-    return moves;
+  std::array<std::size_t, kRowsPerShard> flowsInRow{};
+  m_state.m_flows.ForEach(
+    [&](const FlowTable::Entry& aEntry) { ++flowsInRow.at(aEntry.m_row); });
+  const bool mayBalance = aNow - m_pacedAt >= kPacedInterval;
+  std::vector<SlotMove> due;
+  std::size_t flows = 0;
+  for (const SlotMove& move : aMoves) {
+    if (IsUrgent(m_state.m_table, move)) {
+      due.push_back(move);
+    } else if (mayBalance && flows < kPacedFlows) {
+      due.push_back(move);
+      flows += flowsInRow.at(move.m_row);
+      m_pacedAt = aNow;
+    } else {
+      m_planAt = m_pacedAt + kPacedInterval;
+    }
   }
-  RowSet planned;
+  return due;
+}
+
+/// Planned moves, and rows that stay as they are but must be closed: those of
+/// a lost owner's window, and those of flows that were missed before.
+std::vector<SlotMove>
+ShardOwner::MovesDue(bool aTakeover, base::Instant aNow)
+{
+  auto moves =
+    Pace(PlanMoves(m_state.Key(), m_state.m_table, m_state.Directory()), aNow);
+  RowSet closed;
   for (const SlotMove& move : moves) {
-    planned.set(move.m_row);
+    closed.set(move.m_row);
   }
-  for (const SlotMove& move : m_state.m_window->m_moves) {
-    if (!planned.test(move.m_row)) {
-      const TargetSlot current = m_state.m_table.RowTarget(move.m_row);
-      moves.push_back({ move.m_row, current });
+  const auto close = [&](std::uint16_t aRow) {
+    if (!closed.test(aRow)) {
+      closed.set(aRow);
+      moves.push_back({ aRow, m_state.m_table.RowTarget(aRow) });
+    }
+  };
+  if (aTakeover) {
+    for (const SlotMove& move : m_state.m_window->m_moves) {
+      close(move.m_row);
     }
   }
+  for (const PinnedFlow& flow : m_strays) {
+    close(flow.m_flow.m_row);
+  }
   return moves;
 }
 
+void
+ShardOwner::AddStrays(const std::vector<PinnedFlow>& aFlows)
+{
+  m_strays.insert(m_strays.end(), aFlows.begin(), aFlows.end());
+  m_planDue = true;
+}
+
 TableVersion
 ShardOwner::NextVersion() const
 {
@@ -110,6 +170,7 @@
   Window window;
   window.m_version = NextVersion();
   window.m_basis = m_state.m_table.Version();
+  window.m_ownerIncarnation = m_view.Incarnation();
   window.m_takeover = aTakeover;
   for (const SlotMove& move : aMoves) {
     window.m_rows.set(move.m_row);
@@ -117,6 +178,12 @@
   window.m_moves = std::move(aMoves);
   Progress progress;
   progress.m_proposed = m_state.FlowsAtRisk(window, aNow);
+  for (const PinnedFlow& flow : m_strays) {
+    if (m_state.m_flows.Find(flow.m_flow) == kNoSlot) {
+      progress.m_proposed.push_back(flow);
+    }
+  }
+  m_strays.clear();
   for (const PinnedFlow& flow : progress.m_proposed) {
     const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
     window.m_known.Put(flow.m_flow, slot, 0);
@@ -125,11 +192,10 @@
   progress.m_version = window.m_version;
   progress.m_rows = window.m_rows;
   progress.m_message = m_state.DescribeWindow(window);
-  const auto& peers = m_view.LivePeers();
-  progress.m_awaited = { peers.begin(), peers.end() };
   Observe(window.m_version);
   m_state.m_window = std::move(window);
   m_progress = std::move(progress);
+  AwaitAll();
   SendToAwaited(aNow);
   Advance(aNow);
 }
@@ -150,9 +216,22 @@
                 [&](base::HostId aHost) { return !m_view.IsLive(aHost); });
 }
 
+void
+ShardOwner::AwaitAll()
+{
+  const auto& peers = m_view.LivePeers();
+  m_progress->m_awaited = { peers.begin(), peers.end() };
+}
+
 void
 ShardOwner::Advance(base::Instant aNow)
 {
+  if (m_progress->m_stage == Stage::Lingering) {
+    if (MayCommit(aNow)) {
+      SendCommit(aNow);
+    }
+    return;
+  }
   DropDeadAwaited();
   if (!m_progress->m_awaited.empty()) {
     if (aNow - m_progress->m_sentAt >= kResendInterval) {
@@ -160,7 +239,7 @@
     }
     return;
   }
-  if (!m_progress->m_switched) {
+  if (m_progress->m_stage == Stage::Gathering) {
     Switch(aNow);
     return;
   }
@@ -170,6 +249,37 @@
 
 void
 ShardOwner::Switch(base::Instant aNow)
+{
+  m_state.m_window->m_switched = true;
+  m_progress->m_stage = Stage::Lingering;
+  m_planDue = false;
+  Advance(aNow);
+}
+
+/// Another change that is due outweighs the flows nobody alive has seen.
+bool
+ShardOwner::MayCommit(base::Instant aNow)
+{
+  const base::Instant departure = m_view.LastDeparture();
+  const bool departed = departure != base::Instant{};
+  if (!departed || aNow - departure >= kDepartureMemory) {
+    return true;
+  }
+  if (!m_planDue) {
+    return false;
+  }
+  m_planDue = false;
+  ShardTable moved = m_state.m_table;
+  for (const SlotMove& move : m_state.m_window->m_moves) {
+    moved.SetRow(move.m_row, move.m_slot);
+  }
+  const auto next = PlanMoves(m_state.Key(), moved, m_state.Directory());
+  return std::ranges::any_of(
+    next, [&](const SlotMove& aMove) { return IsUrgent(moved, aMove); });
+}
+
+void
+ShardOwner::SendCommit(base::Instant aNow)
 {
   Window& window = *m_state.m_window;
   for (const PinnedFlow& flow : m_state.FlowsAtRisk(window, aNow)) {
@@ -185,15 +295,12 @@
       commit.m_additions.push_back(flow);
     }
   }
-  m_state.ApplyWindow();
-  m_progress->m_switched = true;
+  m_state.ApplyWindow(aNow);
+  m_progress->m_stage = Stage::Committing;
   m_progress->m_message = commit;
-  const auto& peers = m_view.LivePeers();
-  m_progress->m_awaited = { peers.begin(), peers.end() };
+  AwaitAll();
   SendToAwaited(aNow);
-  if (m_progress->m_awaited.empty()) {
-    Advance(aNow);
-  }
+  Advance(aNow);
 }
 
 void
@@ -202,15 +309,18 @@
                          base::Instant aNow)
 {
   Observe(aMessage.m_committed);
-  if (!m_progress || m_progress->m_switched) {
+  if (!m_progress || m_progress->m_stage == Stage::Committing) {
     return;
   }
   if (!aMessage.m_accepted) {
+    if (m_progress->m_stage != Stage::Gathering) {
+      return;
+    }
     Observe(aMessage.m_version);
     const bool behind = aMessage.m_committed > m_state.m_table.Version();
     Abandon();
     if (behind) {
-      m_outbox.Send(aFrom, peer::SyncRequest{ m_state.Key() });
+      m_outbox.Send(aFrom, m_state.MakeSyncRequest());
     }
     return;
   }
@@ -230,7 +340,7 @@
 void
 ShardOwner::OnCommitAck(base::HostId aFrom, const peer::CommitAck& aMessage)
 {
-  if (!m_progress || !m_progress->m_switched ||
+  if (!m_progress || m_progress->m_stage != Stage::Committing ||
       aMessage.m_version < m_progress->m_version) {
     return;
   }
@@ -240,7 +350,7 @@
 void
 ShardOwner::Abandon()
 {
-  if (m_progress && !m_progress->m_switched) {
+  if (m_progress && m_progress->m_stage != Stage::Committing) {
     m_state.m_window.reset();
   }
   m_progress.reset();
@@ -256,7 +366,8 @@
 bool
 ShardOwner::IsCommitting(std::uint16_t aRow) const
 {
-  return m_progress && m_progress->m_switched && m_progress->m_rows.test(aRow);
+  return m_progress && m_progress->m_stage == Stage::Committing &&
+         m_progress->m_rows.test(aRow);
 }
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/ShardOwner.h
+++ b/src/wasabiloom/steering/ShardOwner.h
@@ -12,7 +12,9 @@
 
 /// Moves rows in three steps: every live host closes the rows and tells the
 /// flows it knows; the owner switches; every live host commits. A host that
-/// stops being live is no longer waited for. One thread at a time.
+/// stops being live is no longer waited for. After a departure the commit
+/// waits, unless another change is due, so that flows which only the departed
+/// host had seen can show themselves. One thread at a time.
 class ShardOwner
 {
 public:
@@ -37,6 +39,9 @@
   /// Remembers a version that another host used.
   void Observe(const TableVersion& aVersion);
 
+  /// Takes in flows that were missed when the table changed.
+  void AddStrays(const std::vector<PinnedFlow>& aFlows);
+
   /// Makes the next Tick plan anew.
   void RequestPlan() { m_planDue = true; }
 
@@ -48,9 +53,19 @@
   bool IsBusy() const { return m_progress.has_value(); }
 
 private:
+  enum class Stage : std::uint8_t
+  {
+    /// Waiting for every live host's flows.
+    Gathering,
+    /// New flows go to the new defaults; unknown ones may still show up.
+    Lingering,
+    /// Waiting for every live host's acknowledgement.
+    Committing,
+  };
+
   struct Progress
   {
-    bool m_switched = false;
+    Stage m_stage = Stage::Gathering;
     TableVersion m_version;
     RowSet m_rows;
     std::set<base::HostId> m_awaited;
@@ -61,10 +76,16 @@
 
   void CreateFirstTable(std::uint64_t aBundleVersion);
   void StartIfDue(base::Instant aNow);
-  std::vector<SlotMove> MovesDue(bool aTakeover) const;
+  bool IsUrgent(const ShardTable& aTable, const SlotMove& aMove) const;
+  std::vector<SlotMove> Pace(const std::vector<SlotMove>& aMoves,
+                             base::Instant aNow);
+  std::vector<SlotMove> MovesDue(bool aTakeover, base::Instant aNow);
   void Start(std::vector<SlotMove> aMoves, bool aTakeover, base::Instant aNow);
   void Advance(base::Instant aNow);
   void Switch(base::Instant aNow);
+  bool MayCommit(base::Instant aNow);
+  void SendCommit(base::Instant aNow);
+  void AwaitAll();
   void SendToAwaited(base::Instant aNow);
   void DropDeadAwaited();
   TableVersion NextVersion() const;
@@ -74,7 +95,11 @@
   peer::Outbox& m_outbox;
   std::optional<Progress> m_progress;
   TableVersion m_highest;
+  std::vector<PinnedFlow> m_strays;
   bool m_planDue = true;
+  /// When moves put off for later are due; zero when none are.
+  base::Instant m_planAt;
+  base::Instant m_pacedAt;
 };
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/ShardState.cpp
+++ b/src/wasabiloom/steering/ShardState.cpp
@@ -39,6 +39,7 @@
   Window window;
   window.m_version = aPropose.m_version;
   window.m_basis = aPropose.m_basis;
+  window.m_ownerIncarnation = aPropose.m_ownerIncarnation;
   window.m_takeover = aPropose.m_takeover;
   for (const RowMove& move : aPropose.m_moves) {
     window.m_rows.set(move.m_row);
@@ -66,6 +67,7 @@
   propose.m_shard = m_key;
   propose.m_version = aWindow.m_version;
   propose.m_basis = aWindow.m_basis;
+  propose.m_ownerIncarnation = aWindow.m_ownerIncarnation;
   propose.m_takeover = aWindow.m_takeover;
   for (const SlotMove& move : aWindow.m_moves) {
     propose.m_moves.push_back({ move.m_row, m_directory.At(move.m_slot).m_id });
@@ -76,19 +78,29 @@
   return propose;
 }
 
-std::vector<PinnedFlow>
-ShardState::FlowsAtRisk(const Window& aWindow, base::Instant aNow) const
+/// Whether a flow was seen recently on a backend server that still counts.
+bool
+ShardState::IsWorthTelling(const FlowTable::Entry& aEntry,
+                           base::Instant aNow) const
 {
   constexpr auto kIdle =
     std::chrono::duration_cast<std::chrono::seconds>(kFlowIdleLimit).count();
-  const std::uint32_t now = ToSeconds(aNow);
+  return ToSeconds(aNow) - aEntry.m_seen <= kIdle && KeepsFlows(aEntry.m_slot);
+}
+
+std::vector<PinnedFlow>
+ShardState::FlowsAtRisk(const Window& aWindow, base::Instant aNow) const
+{
   std::vector<PinnedFlow> flows;
   m_flows.ForEach([&](const FlowTable::Entry& aEntry) {
-    const bool atRisk = aWindow.m_rows.test(aEntry.m_row) &&
-                        now - aEntry.m_seen <= kIdle &&
-                        KeepsFlows(aEntry.m_slot) &&
-                        aWindow.NewTarget(aEntry.m_row) != aEntry.m_slot;
-    if (atRisk) {
+    if (!aWindow.m_rows.test(aEntry.m_row)) {
+      return;
+    }
+    // A lost owner may have placed flows on its own new defaults already.
+    const bool moves =
+      aWindow.NewTarget(aEntry.m_row) != aEntry.m_slot ||
+      (aWindow.m_takeover && m_table.RowTarget(aEntry.m_row) != aEntry.m_slot);
+    if (moves && IsWorthTelling(aEntry, aNow)) {
       flows.push_back(Describe(aEntry));
     }
   });
@@ -96,7 +108,7 @@
 }
 
 void
-ShardState::ApplyWindow()
+ShardState::ApplyWindow(base::Instant aNow)
 {
   const Window& window = *m_window;
   m_table.Unpin(window.m_rows);
@@ -107,22 +119,28 @@
     m_table.Pin({ aEntry.m_row, aEntry.m_fingerprint }, aEntry.m_slot);
   });
   m_table.SetVersion(window.m_version);
-  DropContradictions(window.m_rows);
+  DropContradictions(window.m_rows, aNow);
   m_window.reset();
 }
 
-void
-ShardState::DropContradictions(const RowSet& aRows)
+std::vector<PinnedFlow>
+ShardState::DropContradictions(const RowSet& aRows, base::Instant aNow)
 {
+  std::vector<PinnedFlow> dropped;
   m_flows.EraseIf([&](const FlowTable::Entry& aEntry) {
     const FlowId flow{ aEntry.m_row, aEntry.m_fingerprint };
-    return aRows.test(aEntry.m_row) &&
-           m_table.Lookup(flow).m_slot != aEntry.m_slot;
+    const bool contradicts =
+      aRows.test(aEntry.m_row) && m_table.Lookup(flow).m_slot != aEntry.m_slot;
+    if (contradicts && IsWorthTelling(aEntry, aNow)) {
+      dropped.push_back(Describe(aEntry));
+    }
+    return contradicts;
   });
+  return dropped;
 }
 
-void
-ShardState::AdoptTable(const peer::Sync& aSync)
+std::vector<PinnedFlow>
+ShardState::AdoptTable(const peer::Sync& aSync, base::Instant aNow)
 {
   m_table = ShardTable();
   for (std::size_t row = 0; row < aSync.m_rows.size(); ++row) {
@@ -133,8 +151,15 @@
   }
   m_table.SetVersion(aSync.m_version);
   m_hasTable = true;
+  m_confirmed = true;
   m_window.reset();
-  DropContradictions(RowSet().set());
+  RowSet settled = RowSet().set();
+  if (aSync.m_window) {
+    for (const RowMove& move : aSync.m_window->m_moves) {
+      settled.reset(move.m_row);
+    }
+  }
+  return DropContradictions(settled, aNow);
 }
 
 peer::Sync
@@ -166,11 +191,15 @@
   });
 }
 
-void
-ShardState::ForgetTable()
+peer::SyncRequest
+ShardState::MakeSyncRequest() const
 {
-  m_hasTable = false;
-  m_window.reset();
+  peer::SyncRequest request;
+  request.m_shard = m_key;
+  request.m_committed = m_hasTable ? m_table.Version() : TableVersion{};
+  request.m_window = m_window ? m_window->m_version : TableVersion{};
+  request.m_confirm = !m_hasTable || !m_confirmed;
+  return request;
 }
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/ShardState.h
+++ b/src/wasabiloom/steering/ShardState.h
@@ -19,7 +19,10 @@
 {
   TableVersion m_version;
   TableVersion m_basis;
+  std::uint64_t m_ownerIncarnation = 0;
   bool m_takeover = false;
+  /// Whether the owner, this host, places new flows on the new defaults.
+  bool m_switched = false;
   RowSet m_rows;
   std::vector<SlotMove> m_moves;
   FlowTable m_known;
@@ -49,16 +52,18 @@
   peer::Propose DescribeWindow(const Window& aWindow) const;
 
   /// Recently seen flows of `aWindow`'s rows that will not be on their row's
-  /// new default.
+  /// new default; in a takeover also those that are not on the old one.
   std::vector<PinnedFlow> FlowsAtRisk(const Window& aWindow,
                                       base::Instant aNow) const;
 
   /// Puts the open window's moves in force and closes it. Precondition:
   /// a window is open.
-  void ApplyWindow();
+  void ApplyWindow(base::Instant aNow);
 
-  /// Replaces the table by what `aSync` holds; drops the open window.
-  void AdoptTable(const peer::Sync& aSync);
+  /// Replaces the table by what `aSync` holds; drops the open window. Returns
+  /// the remembered flows that the table contradicts, which are forgotten.
+  std::vector<PinnedFlow> AdoptTable(const peer::Sync& aSync,
+                                     base::Instant aNow);
 
   /// The whole state as a message.
   peer::Sync Describe() const;
@@ -66,17 +71,24 @@
   /// Forgets flows that were idle for longer than kFlowIdleLimit.
   void DropIdleFlows(base::Instant aNow);
 
-  /// Forgets the table and the window, but not the flows.
-  void ForgetTable();
+  /// Whether the table may be used: there is one, and no pause since it was
+  /// last known to be current.
+  bool IsUsable() const { return m_hasTable && m_confirmed; }
+
+  /// Request for what this host lacks.
+  peer::SyncRequest MakeSyncRequest() const;
 
   bool m_hasTable = false;
+  bool m_confirmed = true;
   ShardTable m_table;
   FlowTable m_flows;
   std::optional<Window> m_window;
 
 private:
-  void DropContradictions(const RowSet& aRows);
+  std::vector<PinnedFlow> DropContradictions(const RowSet& aRows,
+                                             base::Instant aNow);
   PinnedFlow Describe(const FlowTable::Entry& aEntry) const;
+  bool IsWorthTelling(const FlowTable::Entry& aEntry, base::Instant aNow) const;
 
   ShardKey m_key;
   TargetDirectory& m_directory;
--- a/src/wasabiloom/steering/Steer.cpp
+++ b/src/wasabiloom/steering/Steer.cpp
@@ -14,6 +14,8 @@
       return "window_known";
     case SteerReason::WindowOldDefault:
       return "window_old_default";
+    case SteerReason::WindowNewDefault:
+      return "window_new_default";
     case SteerReason::RelayToWindowOwner:
       return "relay_to_window_owner";
     case SteerReason::RelayNotReady:
--- a/src/wasabiloom/steering/Steer.h
+++ b/src/wasabiloom/steering/Steer.h
@@ -12,7 +12,7 @@
 struct Arrival
 {
   FlowId m_flow;
-  /// Whether the packet opens a flow.
+  /// Whether the packet opens a flow, or may do so.
   bool m_opens = false;
   /// Peer that relayed the packet; zero when it came from the fabric.
   base::HostId m_relayedFrom;
@@ -33,6 +33,7 @@
   Pinned,
   WindowKnown,
   WindowOldDefault,
+  WindowNewDefault,
   RelayToWindowOwner,
   RelayNotReady,
   RelayUnknownTarget,
--- a/src/wasabiloom/steering/Types.h
+++ b/src/wasabiloom/steering/Types.h
@@ -107,7 +107,14 @@
                  static_cast<std::uint32_t>(aHash) };
 }
 
-/// Hash by which hosts compete for the ownership of a shard. Thread safe.
+/// Hash by which hosts are ranked for the shards of a service. Thread safe.
+constexpr std::uint64_t
+HashService(const ServiceId& aService)
+{
+  return base::Mix(aService.m_value + 1ULL);
+}
+
+/// Hash that tells shards apart. Thread safe.
 constexpr std::uint64_t
 HashShard(const ShardKey& aKey)
 {
--- a/src/wasabiloom/wire/PeerCodec.cpp
+++ b/src/wasabiloom/wire/PeerCodec.cpp
@@ -1,5 +1,7 @@
 #include "wasabiloom/wire/PeerCodec.h"
 
+#include "wasabiloom/wire/RiceCode.h"
+
 #include "generated/peer.pb.h"
 
 #include <algorithm>
@@ -63,6 +65,15 @@
   return { aIn.term(), aIn.sequence(), { aIn.owner() } };
 }
 
+void
+PutKeys(FlowRun* aRun, const std::vector<std::uint64_t>& aKeys)
+{
+  const RiceCoded coded = RiceEncode(aKeys);
+  aRun->set_count(coded.m_count);
+  aRun->set_rice_bits(coded.m_lowBits);
+  aRun->set_deltas(coded.m_bytes);
+}
+
 void
 Put(FlowRuns* aOut, const std::vector<PinnedFlow>& aFlows)
 {
@@ -76,11 +87,7 @@
     std::ranges::sort(keys);
     FlowRun* run = aOut->Add();
     run->set_target(target.m_value);
-    std::uint64_t last = 0;
-    for (const std::uint64_t key : keys) {
-      run->add_deltas(key - last);
-      last = key;
-    }
+    PutKeys(run, keys);
   }
 }
 
@@ -89,10 +96,10 @@
 {
   std::vector<PinnedFlow> flows;
   for (const FlowRun& run : aIn) {
-    std::uint64_t key = 0;
-    for (const std::uint64_t delta : run.deltas()) {
-      Require(delta < kFlowKeyLimit);
-      key += delta;
+    const auto keys =
+      RiceDecode({ run.rice_bits(), run.count(), run.deltas() });
+    Require(keys.has_value());
+    for (const std::uint64_t key : *keys) {
       Require(key < kFlowKeyLimit);
       const auto row = static_cast<std::uint16_t>(key >> kFingerprintBits);
       const auto fingerprint = static_cast<std::uint32_t>(key);
@@ -151,9 +158,7 @@
   aOut->set_phase(static_cast<std::uint32_t>(aMessage.m_phase));
   aOut->set_bundle_version(aMessage.m_bundleVersion);
   aOut->set_list_revision(aMessage.m_listRevision);
-  for (const base::HostId host : aMessage.m_hears) {
-    aOut->add_hears(host.m_value);
-  }
+  aOut->set_hears_receiver(aMessage.m_hearsReceiver);
 }
 
 peer::Heartbeat
@@ -164,9 +169,7 @@
   message.m_phase = static_cast<peer::HostPhase>(aIn.phase());
   message.m_bundleVersion = aIn.bundle_version();
   message.m_listRevision = aIn.list_revision();
-  for (const std::uint32_t host : aIn.hears()) {
-    message.m_hears.push_back({ host });
-  }
+  message.m_hearsReceiver = aIn.hears_receiver();
   return message;
 }
 
@@ -176,6 +179,7 @@
   Put(aOut->mutable_shard(), aMessage.m_shard);
   Put(aOut->mutable_version(), aMessage.m_version);
   Put(aOut->mutable_basis(), aMessage.m_basis);
+  aOut->set_owner_incarnation(aMessage.m_ownerIncarnation);
   aOut->set_takeover(aMessage.m_takeover);
   Put(aOut->mutable_moves(), aMessage.m_moves);
   Put(aOut->mutable_known(), aMessage.m_known);
@@ -188,6 +192,7 @@
   message.m_shard = Get(aIn.shard());
   message.m_version = Get(aIn.version());
   message.m_basis = Get(aIn.basis());
+  message.m_ownerIncarnation = aIn.owner_incarnation();
   message.m_takeover = aIn.takeover();
   message.m_moves = Get(aIn.moves());
   message.m_known = Get(aIn.known());
@@ -250,8 +255,9 @@
   FlowRun* run = aOut->mutable_placed();
   run->set_target(aMessage.m_placed.m_target.m_value);
   const std::uint64_t row = aMessage.m_placed.m_flow.m_row;
-  run->add_deltas((row << kFingerprintBits) |
-                  aMessage.m_placed.m_flow.m_fingerprint);
+  PutKeys(
+    run,
+    { (row << kFingerprintBits) | aMessage.m_placed.m_flow.m_fingerprint });
 }
 
 peer::PlacementNotice
@@ -264,16 +270,34 @@
   return { Get(aIn.shard()), flows.front() };
 }
 
+void
+Put(StrayFlows* aOut, const peer::StrayFlows& aMessage)
+{
+  Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_flows(), aMessage.m_flows);
+}
+
+peer::StrayFlows
+Get(const StrayFlows& aIn)
+{
+  return { Get(aIn.shard()), Get(aIn.flows()) };
+}
+
 void
 Put(SyncRequest* aOut, const peer::SyncRequest& aMessage)
 {
   Put(aOut->mutable_shard(), aMessage.m_shard);
+  Put(aOut->mutable_committed(), aMessage.m_committed);
+  Put(aOut->mutable_window(), aMessage.m_window);
+  aOut->set_confirm(aMessage.m_confirm);
 }
 
 peer::SyncRequest
 Get(const SyncRequest& aIn)
 {
-  return { Get(aIn.shard()) };
+  return {
+    Get(aIn.shard()), Get(aIn.committed()), Get(aIn.window()), aIn.confirm()
+  };
 }
 
 void
@@ -341,6 +365,10 @@
   {
     Put(m_out.mutable_placement_notice(), aMessage);
   }
+  void operator()(const peer::StrayFlows& aMessage) const
+  {
+    Put(m_out.mutable_stray_flows(), aMessage);
+  }
   void operator()(const peer::SyncRequest& aMessage) const
   {
     Put(m_out.mutable_sync_request(), aMessage);
@@ -375,6 +403,8 @@
       return Get(aIn.commit_ack());
     case PeerDatagram::kPlacementNotice:
       return Get(aIn.placement_notice());
+    case PeerDatagram::kStrayFlows:
+      return Get(aIn.stray_flows());
     case PeerDatagram::kSyncRequest:
       return Get(aIn.sync_request());
     case PeerDatagram::kSync:
--- a/tests/unit/PeerCodecTests.cpp
+++ b/tests/unit/PeerCodecTests.cpp
@@ -37,8 +37,14 @@
 OneOfEach()
 {
   const steering::ShardKey shard{ { 5 }, 3 };
-  const Propose propose{ shard, Version(2),       Version(1),
-                         true,  { { 1, { 2 } } }, Flows(20) };
+  Propose propose;
+  propose.m_shard = shard;
+  propose.m_version = Version(2);
+  propose.m_basis = Version(1);
+  propose.m_ownerIncarnation = 12;
+  propose.m_takeover = true;
+  propose.m_moves = { { 1, { 2 } } };
+  propose.m_known = Flows(20);
   Sync sync;
   sync.m_shard = shard;
   sync.m_version = Version(4);
@@ -47,13 +53,14 @@
   }
   sync.m_pinned = Flows(5);
   sync.m_window = propose;
-  return { Heartbeat{ HostPhase::Ready, 3, 4, { { 1 }, { 2 } } },
+  return { Heartbeat{ HostPhase::Ready, 3, 4, true },
            propose,
            Contribute{ shard, Version(2), Version(1), true, Flows(3) },
            Commit{ shard, Version(2), Flows(1) },
            CommitAck{ shard, Version(2) },
            PlacementNotice{ shard, Flows(1).front() },
-           SyncRequest{ shard },
+           StrayFlows{ shard, Flows(7) },
+           SyncRequest{ shard, Version(3), Version(4), true },
            sync,
            BundleRequest{},
            BundleReply{ "bytes" } };
@@ -77,7 +84,7 @@
     return EncodePeer({ { 1 }, 1, Commit{ shard, Version(2), Flows(aFlows) } })
       .size();
   };
-  EXPECT_LE(size(2000) - size(1000), 1000U * 6U);
+  EXPECT_LE(size(2000) - size(1000), 1000U * 9U / 2U);
 }
 
 RC_GTEST_PROP(PeerCodec, RefusesDamageWithoutHarm, ())
