--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -120,7 +120,7 @@
                 const peer::Datagram& aDatagram);
   void Run(int aHost, const EventQueue::Action& aAction);
   void TickLater(int aHost);
-  void CountControl(int aHost, std::size_t aBytes);
+  void CountControl(int aHost, const std::string& aKind, std::size_t aBytes);
   void PrintTrace(const std::string& aText) const;
   bool IsCut(int aFrom, int aTo) const;
   int HostAt(const base::Ipv4Address& aAddress) const;
--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -408,6 +408,7 @@
 {
   NoticePause(aNow);
   m_tickedAt = aNow;
+  m_budget.Refill(aNow);
   m_membership.Tick(Versions(), aNow);
   RequestNewerBundle(aNow);
   UpdatePhase(aNow);
--- a/src/wasabiloom/core/HostCore.h
+++ b/src/wasabiloom/core/HostCore.h
@@ -86,6 +86,7 @@
 
 private:
   void Send(base::HostId aTo, const peer::Message& aMessage) override;
+  peer::SendBudget& Budget() override { return m_budget; }
 
   PacketVerdict Handle(std::span<const std::byte> aPacket,
                        base::HostId aRelayedFrom,
@@ -131,6 +132,7 @@
 
   HostIdentity m_identity;
   Effects& m_effects;
+  peer::SendBudget m_budget;
   peer::Membership m_membership;
   Counters m_counters;
   bundle::Bundle m_bundle;
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -13,10 +13,10 @@
 namespace wasabiloom::peer {
 
 /// Interval between heartbeats to each peer.
-constexpr base::Duration kHeartbeatInterval = std::chrono::milliseconds(500);
+constexpr base::Duration kHeartbeatInterval = std::chrono::milliseconds(650);
 
 /// A peer unheard for this long is taken for dead.
-constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(1600);
+constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(2000);
 
 /// An entry host as the host list names it.
 struct PeerAddress
--- a/src/wasabiloom/peer/Outbox.h
+++ b/src/wasabiloom/peer/Outbox.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wasabiloom/peer/Messages.h"
+#include "wasabiloom/peer/SendBudget.h"
 
 namespace wasabiloom::peer {
 
@@ -14,6 +15,9 @@
 
   /// Queues `aMessage` for `aTo`.
   virtual void Send(base::HostId aTo, const Message& aMessage) = 0;
+
+  /// Budget of the messages about changing tables.
+  virtual SendBudget& Budget() = 0;
 };
 
 } // namespace wasabiloom::peer
--- /dev/null
+++ b/src/wasabiloom/peer/SendBudget.h
@@ -0,0 +1,33 @@
+/// Limits the control bytes that a host sends of its own accord.
+#pragma once
+
+#include "wasabiloom/base/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace wasabiloom::peer {
+
+/// Token bucket over bytes. What must be sent at once is spent without asking
+/// and leaves a debt; what may wait asks first. One thread at a time.
+class SendBudget
+{
+public:
+  /// Adds what has accrued until `aNow`.
+  void Refill(base::Instant aNow);
+
+  /// Bytes that may be sent now; 0 while in debt.
+  std::size_t Available() const;
+
+  /// Notes `aBytes` as sent.
+  void Spend(std::size_t aBytes);
+
+private:
+  std::int64_t m_bytes = kBurstBytes;
+  base::Instant m_refilledAt;
+
+  static constexpr std::int64_t kBytesPerSecond = 600;
+  static constexpr std::int64_t kBurstBytes = 3000;
+};
+
+} // namespace wasabiloom::peer
--- a/src/wasabiloom/steering/ShardFollower.cpp
+++ b/src/wasabiloom/steering/ShardFollower.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Estimate for the budget.
+constexpr std::size_t kFlowBytes = 5;
+
 constexpr base::Duration kAskInterval = std::chrono::milliseconds(200);
 constexpr base::Duration kWindowPatience = std::chrono::seconds(2);
 constexpr base::Duration kStuckAskInterval = std::chrono::seconds(10);
@@ -83,6 +86,7 @@
       answer.m_flows.push_back(flow);
     }
   }
+  m_outbox.Budget().Spend(answer.m_flows.size() * kFlowBytes);
   m_outbox.Send(aFrom, answer);
 }
 
--- a/src/wasabiloom/steering/ShardOwner.cpp
+++ b/src/wasabiloom/steering/ShardOwner.cpp
@@ -15,8 +15,11 @@
 
 /// Moves that only improve the balance are spread over time, so that control
 /// traffic stays small and a returning backend server fills gradually.
-constexpr base::Duration kPacedInterval = std::chrono::seconds(4);
-constexpr std::size_t kPacedFlows = 64;
+constexpr base::Duration kPacedInterval = std::chrono::seconds(2);
+
+/// Estimates for the budget: a message without flows, and one flow.
+constexpr std::size_t kMessageBytes = 90;
+constexpr std::size_t kFlowBytes = 5;
 
 } // namespace
 
@@ -91,7 +94,7 @@
   return current == kNoSlot || !m_state.Directory().At(current).m_takesNew;
 }
 
-/// All urgent moves, and as many of the others as are due.
+/// All urgent moves, and as many of the others as time and budget allow.
 std::vector<SlotMove>
 ShardOwner::Pace(const std::vector<SlotMove>& aMoves, base::Instant aNow)
 {
@@ -99,22 +102,30 @@
   m_state.m_flows.ForEach(
     [&](const FlowTable::Entry& aEntry) { ++flowsInRow.at(aEntry.m_row); });
   const bool mayBalance = aNow - m_pacedAt >= kPacedInterval;
+  const std::size_t allowed = mayBalance ? m_outbox.Budget().Available() : 0;
   std::vector<SlotMove> due;
   std::size_t flows = 0;
   for (const SlotMove& move : aMoves) {
     if (IsUrgent(m_state.m_table, move)) {
       due.push_back(move);
-    } else if (mayBalance && flows < kPacedFlows) {
+    } else if (CostOf(flows) < allowed) {
       due.push_back(move);
       flows += flowsInRow.at(move.m_row);
       m_pacedAt = aNow;
     } else {
-      m_planAt = m_pacedAt + kPacedInterval;
+      m_planAt = aNow + kPacedInterval;
     }
   }
   return due;
 }
 
+/// Bytes of telling every peer of `aFlows` flows.
+std::size_t
+ShardOwner::CostOf(std::size_t aFlows) const
+{
+  return m_view.LivePeers().size() * (kMessageBytes + aFlows * kFlowBytes);
+}
+
 /// Planned moves, and rows that stay as they are but must be closed: those of
 /// a lost owner's window, and those of flows that were missed before.
 std::vector<SlotMove>
@@ -184,22 +195,35 @@
     }
   }
   m_strays.clear();
-  for (const PinnedFlow& flow : progress.m_proposed) {
-    const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
-    window.m_known.Put(flow.m_flow, slot, 0);
-  }
+  TakeFlows(window, progress.m_proposed);
   std::ranges::sort(progress.m_proposed);
+  if (m_outbox.Budget().Available() == 0) {
+    progress.m_proposed.clear();
+  }
   progress.m_version = window.m_version;
   progress.m_rows = window.m_rows;
-  progress.m_message = m_state.DescribeWindow(window);
+  peer::Propose propose = m_state.DescribeWindow(window);
+  propose.m_known = progress.m_proposed;
+  progress.m_message = propose;
   Observe(window.m_version);
   m_state.m_window = std::move(window);
   m_progress = std::move(progress);
   AwaitAll();
+  m_outbox.Budget().Spend(CostOf(m_progress->m_proposed.size()));
   SendToAwaited(aNow);
   Advance(aNow);
 }
 
+/// Adds flows to those known in `aWindow`.
+void
+ShardOwner::TakeFlows(Window& aWindow, const std::vector<PinnedFlow>& aFlows)
+{
+  for (const PinnedFlow& flow : aFlows) {
+    const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
+    aWindow.m_known.Put(flow.m_flow, slot, 0);
+  }
+}
+
 void
 ShardOwner::SendToAwaited(base::Instant aNow)
 {
@@ -256,15 +280,23 @@
   Advance(aNow);
 }
 
-/// Another change that is due outweighs the flows nobody alive has seen.
+/// The commit waits for the budget and for the flows of departed hosts; an
+/// urgent change that is due outweighs both.
 bool
 ShardOwner::MayCommit(base::Instant aNow)
 {
   const base::Instant departure = m_view.LastDeparture();
-  const bool departed = departure != base::Instant{};
-  if (!departed || aNow - departure >= kDepartureMemory) {
+  const bool departed =
+    departure != base::Instant{} && aNow - departure < kDepartureMemory;
+  if (!departed && m_outbox.Budget().Available() > 0) {
     return true;
   }
+  return IsUrgentPlanDue();
+}
+
+bool
+ShardOwner::IsUrgentPlanDue()
+{
   if (!m_planDue) {
     return false;
   }
@@ -282,10 +314,7 @@
 ShardOwner::SendCommit(base::Instant aNow)
 {
   Window& window = *m_state.m_window;
-  for (const PinnedFlow& flow : m_state.FlowsAtRisk(window, aNow)) {
-    const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
-    window.m_known.Put(flow.m_flow, slot, 0);
-  }
+  TakeFlows(window, m_state.FlowsAtRisk(window, aNow));
   const peer::Propose whole = m_state.DescribeWindow(window);
   peer::Commit commit;
   commit.m_shard = m_state.Key();
@@ -297,6 +326,7 @@
   }
   m_state.ApplyWindow(aNow);
   m_progress->m_stage = Stage::Committing;
+  m_outbox.Budget().Spend(CostOf(commit.m_additions.size()));
   m_progress->m_message = commit;
   AwaitAll();
   SendToAwaited(aNow);
--- a/src/wasabiloom/steering/ShardOwner.h
+++ b/src/wasabiloom/steering/ShardOwner.h
@@ -84,6 +84,9 @@
   void Advance(base::Instant aNow);
   void Switch(base::Instant aNow);
   bool MayCommit(base::Instant aNow);
+  bool IsUrgentPlanDue();
+  std::size_t CostOf(std::size_t aFlows) const;
+  void TakeFlows(Window& aWindow, const std::vector<PinnedFlow>& aFlows);
   void SendCommit(base::Instant aNow);
   void AwaitAll();
   void SendToAwaited(base::Instant aNow);
