New work follows reported load; a lying report is not believed

Each backend server's status page is asked by one host, which tells the others; shard owners correct shares by reported open flows, as far as the flows seen support them. Rows with few flows move first: each flow of a row is told.

--- a/bench/LoneHost.h
+++ b/bench/LoneHost.h
@@ -25,6 +25,11 @@
   }
   void LogRequest(const request::RequestDecision&) override {}
   void SendPeer(const base::Endpoint&, const peer::Datagram&) override {}
+  void ProbeTarget(const steering::ServiceId&,
+                   const steering::TargetId&,
+                   const base::Endpoint&) override
+  {
+  }
   void LogFlow(const core::FlowDecision&) override {}
   void LogEvent(const core::HostEvent&) override {}
 };
--- a/scenario/BaselineHost.cpp
+++ b/scenario/BaselineHost.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 using steering::kNoSlot;
-using steering::kRowsPerShard;
 
 /// Time between learning of a bundle and switching to its table.
 constexpr base::Duration kEpochDelay = std::chrono::seconds(1);
--- a/scenario/BaselineHost.h
+++ b/scenario/BaselineHost.h
@@ -28,6 +28,11 @@
   void OnHostList(const core::HostList& aList, base::Instant aNow) override;
   void OnBackend(const request::Envelope& aEnvelope,
                  base::Instant aNow) override;
+  void OnReport(const steering::ServiceId& /*aService*/,
+                const health::TargetReport& /*aReport*/,
+                base::Instant /*aNow*/) override
+  {
+  }
   void OnTick(base::Instant aNow) override;
   void BeginLeave(base::Instant aNow) override;
   bool IsDrained() const override { return true; }
--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -35,9 +35,9 @@
 MessageName(const peer::Message& aMessage)
 {
   static const std::array<const char*, std::variant_size_v<peer::Message>>
-    sNames = { "heartbeat", "propose",        "contribute",  "commit",
-               "ack",       "notice",         "stray",       "sync_request",
-               "sync",      "bundle_request", "bundle_reply" };
+    sNames = { "heartbeat", "propose",      "contribute",     "commit",
+               "ack",       "notice",       "stray",          "sync_request",
+               "sync",      "load_reports", "bundle_request", "bundle_reply" };
   return sNames.at(aMessage.index());
 }
 
@@ -71,6 +71,12 @@
   {
     m_fleet.SendPeer(m_index, aTo, aDatagram);
   }
+  void ProbeTarget(const steering::ServiceId& aService,
+                   const steering::TargetId& aTarget,
+                   const base::Endpoint& aStatus) override
+  {
+    m_fleet.m_listener->OnProbe(aService, aTarget, aStatus, m_index);
+  }
   void LogFlow(const core::FlowDecision& /*aDecision*/) override {}
   void LogEvent(const core::HostEvent& aEvent) override
   {
@@ -196,6 +202,17 @@
   });
 }
 
+void
+Fleet::SendReport(int aHost,
+                  const steering::ServiceId& aService,
+                  const health::TargetReport& aReport)
+{
+  Run(aHost, [this, aHost, aService, aReport] {
+    m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnReport(
+      aService, aReport, m_queue.Now());
+  });
+}
+
 // --- links ------------------------------------------------------------------
 
 void
--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -48,6 +48,13 @@
                                  const request::Envelope& aEnvelope,
                                  int aHost) = 0;
 
+  /// A host asks a backend server how it is; the answer goes to
+  /// Fleet::SendReport.
+  virtual void OnProbe(const steering::ServiceId& aService,
+                       const steering::TargetId& aTarget,
+                       const base::Endpoint& aStatus,
+                       int aHost) = 0;
+
   /// A host sent a datagram to a caller.
   virtual void OnCallerDatagram(const packet::FlowKey& aFlow,
                                 const request::Envelope& aEnvelope) = 0;
@@ -78,6 +85,11 @@
   /// Hands a backend server's datagram to the host that asked.
   void SendToHost(int aHost, const request::Envelope& aEnvelope);
 
+  /// Hands a backend server's report to the host that asked.
+  void SendReport(int aHost,
+                  const steering::ServiceId& aService,
+                  const health::TargetReport& aReport);
+
   /// Publishes the site's bundle, to reach each host after its lag.
   void PublishBundle();
 
--- a/scenario/FlowLoad.cpp
+++ b/scenario/FlowLoad.cpp
@@ -177,6 +177,7 @@
   flow.m_state = State::Open;
   flow.m_target = aTarget;
   flow.m_givenUp = IsInZoneOut(aTarget);
+  ++m_openOn[aTarget];
   flow.m_losses = 0;
   m_measures.Count("flows_opened");
   const auto took = m_queue.Now() - flow.m_askedAt;
@@ -284,6 +285,9 @@
 FlowLoad::End(std::int64_t aFlow)
 {
   Flow& flow = m_flows[static_cast<std::size_t>(aFlow)];
+  if (flow.m_state == State::Open) {
+    --m_openOn[flow.m_target];
+  }
   flow.m_state = State::Ended;
   OpenNew(flow.m_spec);
 }
@@ -297,12 +301,6 @@
 void
 FlowLoad::Summarize()
 {
-  std::map<std::string, double> open;
-  for (const Flow& flow : m_flows) {
-    if (flow.m_state == State::Open) {
-      ++open[flow.m_target];
-    }
-  }
   for (const bundle::Service& service : m_site.Bundle().m_services) {
     double most = 0;
     double sum = 0;
@@ -313,7 +311,8 @@
                          !m_site.LeavingSince(target.m_name) &&
                          !m_site.OutSince(target.m_zone) && target.m_weight > 0;
       if (equal) {
-        const double share = open[target.m_name] / target.m_weight;
+        const double share =
+          static_cast<double>(m_openOn[target.m_name]) / target.m_weight;
         most = std::max(most, share);
         sum += share;
         ++count;
@@ -329,6 +328,13 @@
                  m_measures.Value("flows_opened_in_time") / asked);
 }
 
+std::uint32_t
+FlowLoad::OpenOn(const std::string& aTarget) const
+{
+  const auto found = m_openOn.find(aTarget);
+  return found == m_openOn.end() ? 0 : found->second;
+}
+
 packet::FlowKey
 FlowLoad::KeyOf(std::int64_t aFlow) const
 {
--- a/scenario/FlowLoad.h
+++ b/scenario/FlowLoad.h
@@ -42,6 +42,14 @@
   /// A zone may have been taken out: flows that end in it are given up.
   void OnZonesChanged();
 
+  bool IsDead(const std::string& aTarget) const
+  {
+    return m_deadTargets.contains(aTarget);
+  }
+
+  /// Open flows of a backend server; a dead one has none.
+  std::uint32_t OpenOn(const std::string& aTarget) const;
+
   /// Adds the measures of balance at the end of a run.
   void Summarize();
 
@@ -90,6 +98,7 @@
   std::mt19937_64 m_random;
   std::vector<Flow> m_flows;
   std::set<std::string> m_deadTargets;
+  std::map<std::string, std::uint32_t> m_openOn;
 };
 
 } // namespace wasabiloom::scenario
--- a/scenario/HostUnderTest.cpp
+++ b/scenario/HostUnderTest.cpp
@@ -46,6 +46,12 @@
   {
     m_core.OnBackend(aEnvelope, aNow);
   }
+  void OnReport(const steering::ServiceId& aService,
+                const health::TargetReport& aReport,
+                base::Instant aNow) override
+  {
+    m_core.OnReport(aService, aReport, aNow);
+  }
   void OnTick(base::Instant aNow) override { m_core.OnTick(aNow); }
   void BeginLeave(base::Instant aNow) override { m_core.BeginLeave(aNow); }
   bool IsDrained() const override { return m_core.IsDrained(); }
--- a/scenario/HostUnderTest.h
+++ b/scenario/HostUnderTest.h
@@ -26,6 +26,9 @@
   virtual void OnHostList(const core::HostList& aList, base::Instant aNow) = 0;
   virtual void OnBackend(const request::Envelope& aEnvelope,
                          base::Instant aNow) = 0;
+  virtual void OnReport(const steering::ServiceId& aService,
+                        const health::TargetReport& aReport,
+                        base::Instant aNow) = 0;
   virtual void OnTick(base::Instant aNow) = 0;
   virtual void BeginLeave(base::Instant aNow) = 0;
   virtual bool IsDrained() const = 0;
--- a/scenario/Runner.cpp
+++ b/scenario/Runner.cpp
@@ -59,6 +59,7 @@
 
 private:
   static constexpr std::chrono::milliseconds kTraceStep{ 10 };
+  static constexpr std::chrono::milliseconds kReportDelay{ 5 };
 
   void StartTrace()
   {
@@ -93,6 +94,23 @@
                          int /*aHost*/) override
   {
   }
+  void OnProbe(const steering::ServiceId& aService,
+               const steering::TargetId& aTarget,
+               const base::Endpoint& aStatus,
+               int aHost) override
+  {
+    const auto* target = m_site.TargetWithAddress(aStatus.m_address);
+    if (target == nullptr || m_flows.IsDead(target->m_name)) {
+      return;
+    }
+    const auto lie = m_lies.find(target->m_name);
+    const std::uint32_t flows =
+      lie == m_lies.end() ? m_flows.OpenOn(target->m_name) : lie->second;
+    const health::TargetReport report{ aTarget, flows, health::Warmth::Warm };
+    m_queue.After(kReportDelay, [this, aHost, aService, report] {
+      m_fleet.SendReport(aHost, aService, report);
+    });
+  }
   void OnCallerDatagram(const packet::FlowKey& /*aFlow*/,
                         const request::Envelope& /*aEnvelope*/) override
   {
@@ -201,6 +219,10 @@
     };
     m_verbs["weight"] = [this](const Words& aWords) { SetWeight(aWords); };
     m_verbs["zone"] = [this](const Words& aWords) { SetZone(aWords); };
+    m_verbs["lie"] = [this](const Words& aWords) {
+      const auto flows = static_cast<std::uint32_t>(std::stoul(aWords.at(2)));
+      m_lies[aWords.at(1)] = flows;
+    };
     m_verbs["kill_target"] = [this](const Words& aWords) {
       m_flows.OnTargetKilled(aWords.at(1));
     };
@@ -250,6 +272,7 @@
   Fleet m_fleet;
   FlowLoad m_flows;
   std::map<std::string, Verb> m_verbs;
+  std::map<std::string, std::uint32_t> m_lies;
   std::string m_problem;
   std::int64_t m_traced = -1;
 };
--- a/scenario/Site.cpp
+++ b/scenario/Site.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::uint16_t kStatusPort = 8080;
 constexpr std::uint32_t kHostNet = 0x0a0a0000;
 
 } // namespace
@@ -39,6 +40,7 @@
     for (std::size_t i = 0; i < service.m_targets.size(); ++i) {
       service.m_targets[i].m_zone = aScript.m_zones[i % aScript.m_zones.size()];
     }
+    service.m_statusPort = kStatusPort;
     if (spec.m_requests) {
       service.m_mode = bundle::ServiceMode::Requests;
       service.m_address.m_protocol = packet::Protocol::Udp;
@@ -92,6 +94,19 @@
   return nullptr;
 }
 
+const bundle::Target*
+Site::TargetWithAddress(const base::Ipv4Address& aAddress) const
+{
+  for (const bundle::Service& service : m_bundle.m_services) {
+    for (const bundle::Target& target : service.m_targets) {
+      if (target.m_endpoint.m_address == aAddress) {
+        return &target;
+      }
+    }
+  }
+  return nullptr;
+}
+
 bool
 Site::AddTarget(const std::string& aService)
 {
--- a/scenario/Site.h
+++ b/scenario/Site.h
@@ -52,6 +52,10 @@
   const bundle::Target* TargetAt(const base::Endpoint& aEndpoint,
                                  std::string& aService) const;
 
+  /// Backend server with `aAddress`, or null.
+  const bundle::Target* TargetWithAddress(
+    const base::Ipv4Address& aAddress) const;
+
   /// Adds one backend server to the service. False without such a service.
   bool AddTarget(const std::string& aService);
 
--- a/src/wasabiloom/bundle/Bundle.h
+++ b/src/wasabiloom/bundle/Bundle.h
@@ -60,6 +60,8 @@
   std::string m_name;
   packet::ServiceAddress m_address;
   ServiceMode m_mode = ServiceMode::Connections;
+  /// Port of the backend servers' status pages; 0 when they have none.
+  std::uint16_t m_statusPort = 0;
   std::vector<Target> m_targets;
 
   friend auto operator<=>(const Service&, const Service&) = default;
--- a/src/wasabiloom/bundle/BundleReader.cpp
+++ b/src/wasabiloom/bundle/BundleReader.cpp
@@ -18,6 +18,7 @@
 using jsonc::ObjectReader;
 
 constexpr std::int64_t kMaxVersion = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMaxWeight = 1000;
 constexpr std::int64_t kDefaultWeight = 100;
 constexpr std::int64_t kMaxSlots = 10000;
@@ -114,8 +115,10 @@
   BOOST_LEAF_ASSIGN(service.m_address.m_endpoint, reader.EndpointAt("address"));
   BOOST_LEAF_AUTO(mode, reader.ChoiceOrFirst("mode", kModes));
   BOOST_LEAF_AUTO(protocol, reader.ChoiceOrFirst("protocol", kProtocols));
+  BOOST_LEAF_AUTO(statusPort, reader.IntegerOr("status_port", 0, kMaxPort, 0));
   BOOST_LEAF_AUTO(targets, reader.Array("targets"));
   BOOST_LEAF_CHECK(reader.Finish());
+  service.m_statusPort = static_cast<std::uint16_t>(statusPort);
   service.m_mode = static_cast<ServiceMode>(mode);
   const bool udp = protocol == 1 || service.m_mode == ServiceMode::Requests;
   service.m_address.m_protocol =
--- a/src/wasabiloom/core/Effects.h
+++ b/src/wasabiloom/core/Effects.h
@@ -45,6 +45,12 @@
   virtual void SendPeer(const base::Endpoint& aTo,
                         const peer::Datagram& aDatagram) = 0;
 
+  /// Asks the status endpoint of a backend server; the answer, if any, goes
+  /// to HostCore::OnReport.
+  virtual void ProbeTarget(const steering::ServiceId& aService,
+                           const steering::TargetId& aTarget,
+                           const base::Endpoint& aStatus) = 0;
+
   /// Records the placement of a flow.
   virtual void LogFlow(const FlowDecision& aDecision) = 0;
 
--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -361,6 +361,17 @@
   m_membership.OnHeartbeat(aFrom, aMessage);
 }
 
+void
+HostCore::Dispatch(base::HostId /*aFrom*/,
+                   const peer::LoadReports& aMessage,
+                   base::Instant aNow)
+{
+  const auto found = m_services.find(aMessage.m_service);
+  if (found != m_services.end()) {
+    found->second->Health().OnPeerReports(aMessage.m_reports, aNow);
+  }
+}
+
 void
 HostCore::Dispatch(base::HostId aFrom,
                    const peer::BundleRequest& /*aMessage*/,
@@ -401,6 +412,17 @@
   found->second->Requests().OnBackend(aEnvelope, aNow);
 }
 
+void
+HostCore::OnReport(const steering::ServiceId& aService,
+                   const health::TargetReport& aReport,
+                   base::Instant aNow)
+{
+  const auto found = m_services.find(aService);
+  if (found != m_services.end()) {
+    found->second->Health().OnReport(aReport, aNow);
+  }
+}
+
 // --- time and phases --------------------------------------------------------
 
 void
--- a/src/wasabiloom/core/HostCore.h
+++ b/src/wasabiloom/core/HostCore.h
@@ -62,6 +62,11 @@
   /// A datagram from a backend server of a service in request mode.
   void OnBackend(const request::Envelope& aEnvelope, base::Instant aNow);
 
+  /// A backend server's status endpoint has answered.
+  void OnReport(const steering::ServiceId& aService,
+                const health::TargetReport& aReport,
+                base::Instant aNow);
+
   /// Time passed. To be called at least every kTickInterval.
   void OnTick(base::Instant aNow);
 
@@ -122,6 +127,9 @@
   void Dispatch(base::HostId aFrom,
                 const peer::Heartbeat& aMessage,
                 base::Instant aNow);
+  void Dispatch(base::HostId aFrom,
+                const peer::LoadReports& aMessage,
+                base::Instant aNow);
   void Dispatch(base::HostId aFrom,
                 const peer::BundleRequest& aMessage,
                 base::Instant aNow);
--- a/src/wasabiloom/core/ServiceRuntime.cpp
+++ b/src/wasabiloom/core/ServiceRuntime.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Age up to which a flow that was seen counts as evidence of load.
+constexpr std::uint32_t kEvidenceSeconds = 120;
+
 std::string
 StateName(const steering::TargetInfo& aTarget)
 {
@@ -31,9 +34,14 @@
                                std::uint32_t aInstance,
                                const peer::HostView& aView,
                                peer::Outbox& aOutbox,
-                               request::RequestSink& aSink)
+                               Effects& aEffects)
   : m_service(aService)
-  , m_requests(aService.m_name, aInstance, m_directory, aSink)
+  , m_requests(aService.m_name, aInstance, m_directory, aEffects)
+  , m_health(steering::MakeServiceId(aService.m_name),
+             m_directory,
+             aView,
+             aOutbox,
+             aEffects)
 {
   const auto service = steering::MakeServiceId(aService.m_name);
   for (std::size_t shard = 0; shard < steering::kShardsPerService; ++shard) {
@@ -49,30 +57,55 @@
 {
   m_service = aService;
   m_directory.Adopt(aBundle, aService);
-  for (const auto& shard : m_shards) {
-    shard->OnDirectoryChanged();
-  }
+  m_health.SetStatusPort(aService.m_statusPort);
+  TellDirectoryChanged();
 }
 
 void
 ServiceRuntime::SetLeaving(const std::vector<std::string>& aNames)
 {
   m_directory.SetLeaving(aNames);
+  TellDirectoryChanged();
+}
+
+void
+ServiceRuntime::TellDirectoryChanged()
+{
   for (const auto& shard : m_shards) {
     shard->OnDirectoryChanged();
   }
 }
 
+/// Flows seen within the evidence window, by slot.
+std::vector<std::uint32_t>
+ServiceRuntime::CountSeen(base::Instant aNow) const
+{
+  const std::uint32_t now = steering::ToSeconds(aNow);
+  std::vector<std::uint32_t> seen(m_directory.Size(), 0);
+  for (const auto& shard : m_shards) {
+    shard->State().m_flows.ForEach(
+      [&](const steering::FlowTable::Entry& aEntry) {
+        seen[aEntry.m_slot] += now - aEntry.m_seen <= kEvidenceSeconds ? 1 : 0;
+      });
+  }
+  return seen;
+}
+
 void
 ServiceRuntime::Tick(bool aMayCreate,
                      bool aMayAsk,
                      std::uint64_t aBundleVersion,
                      base::Instant aNow)
 {
+  m_health.Tick(aNow);
   if (!UsesTables()) {
     m_requests.Tick(aNow);
     return;
   }
+  if (m_health.IsCorrectionDue(aNow) &&
+      m_health.Correct(CountSeen(aNow), aNow)) {
+    TellDirectoryChanged();
+  }
   for (const auto& shard : m_shards) {
     shard->Tick(aMayCreate, aMayAsk, aBundleVersion, aNow);
   }
--- a/src/wasabiloom/core/ServiceRuntime.h
+++ b/src/wasabiloom/core/ServiceRuntime.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wasabiloom/bundle/Bundle.h"
+#include "wasabiloom/core/HealthMonitor.h"
 #include "wasabiloom/core/Status.h"
 #include "wasabiloom/request/RequestHome.h"
 #include "wasabiloom/steering/ShardAgent.h"
@@ -22,7 +23,7 @@
                  std::uint32_t aInstance,
                  const peer::HostView& aView,
                  peer::Outbox& aOutbox,
-                 request::RequestSink& aSink);
+                 Effects& aEffects);
 
   /// Adopts the service's part of a bundle. Precondition: same name.
   void Adopt(const bundle::Bundle& aBundle, const bundle::Service& aService);
@@ -49,6 +50,7 @@
   steering::ShardAgent& Shard(std::uint8_t aShard) { return *m_shards[aShard]; }
   steering::TargetDirectory& Directory() { return m_directory; }
   request::RequestHome& Requests() { return m_requests; }
+  HealthMonitor& Health() { return m_health; }
   const request::RequestHome& Requests() const { return m_requests; }
   const bundle::Service& Service() const { return m_service; }
 
@@ -61,6 +63,8 @@
   ServiceStatus Status() const;
 
 private:
+  void TellDirectoryChanged();
+  std::vector<std::uint32_t> CountSeen(base::Instant aNow) const;
   bool UsesTables() const
   {
     return m_service.m_mode == bundle::ServiceMode::Connections;
@@ -70,6 +74,7 @@
   steering::TargetDirectory m_directory;
   std::vector<std::unique_ptr<steering::ShardAgent>> m_shards;
   request::RequestHome m_requests;
+  HealthMonitor m_health;
 };
 
 } // namespace wasabiloom::core
--- a/src/wasabiloom/daemon/CoreTask.cpp
+++ b/src/wasabiloom/daemon/CoreTask.cpp
@@ -44,6 +44,10 @@
   : m_settings(aSettings)
   , m_sender(aSender)
   , m_core(MakeIdentity(aSettings), *this)
+  , m_probes([this](const steering::ServiceId& aService,
+                    const health::TargetReport& aReport) {
+    m_core.OnReport(aService, aReport, Now());
+  })
 {
 }
 
@@ -192,6 +196,14 @@
   m_fabric.m_socket->Send(AsText(bytes), to);
 }
 
+void
+CoreTask::ProbeTarget(const steering::ServiceId& aService,
+                      const steering::TargetId& aTarget,
+                      const base::Endpoint& aStatus)
+{
+  m_probes.Probe(aService, aTarget, aStatus);
+}
+
 // --- logs -------------------------------------------------------------------
 
 void
--- a/src/wasabiloom/daemon/CoreTask.h
+++ b/src/wasabiloom/daemon/CoreTask.h
@@ -4,6 +4,7 @@
 #include "wasabiloom/core/HostCore.h"
 #include "wasabiloom/daemon/LargeMessageSender.h"
 #include "wasabiloom/daemon/PacketPath.h"
+#include "wasabiloom/daemon/ProbeTask.h"
 #include "wasabiloom/daemon/UdpSocket.h"
 #include "wasabiloom/settings/HostSettings.h"
 
@@ -66,6 +67,9 @@
   void LogRequest(const request::RequestDecision& aDecision) override;
   void SendPeer(const base::Endpoint& aTo,
                 const peer::Datagram& aDatagram) override;
+  void ProbeTarget(const steering::ServiceId& aService,
+                   const steering::TargetId& aTarget,
+                   const base::Endpoint& aStatus) override;
   void LogFlow(const core::FlowDecision& aDecision) override;
   void LogEvent(const core::HostEvent& aEvent) override;
 
@@ -90,6 +94,7 @@
   Port m_peer;
   Port m_requests;
   std::unique_ptr<PacketPath> m_path;
+  ProbeTask m_probes;
   QTimer m_timer;
   std::map<base::Ipv4Address, base::HostId> m_hostsByAddress;
   std::map<base::ResultCode, std::pair<std::uint64_t, base::Endpoint>>
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -21,6 +21,7 @@
   }
   std::ranges::sort(scored, std::greater<>());
   std::vector<base::HostId> ranked;
+  ranked.reserve(scored.size());
   for (const auto& [score, host] : scored) {
     ranked.push_back(host);
   }
--- a/src/wasabiloom/peer/Messages.h
+++ b/src/wasabiloom/peer/Messages.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wasabiloom/base/HostId.h"
+#include "wasabiloom/health/TargetReport.h"
 #include "wasabiloom/steering/Types.h"
 
 #include <compare>
@@ -130,6 +131,15 @@
   friend auto operator<=>(const Sync&, const Sync&) = default;
 };
 
+/// What backend servers said when the sender probed them.
+struct LoadReports
+{
+  steering::ServiceId m_service;
+  std::vector<health::TargetReport> m_reports;
+
+  friend auto operator<=>(const LoadReports&, const LoadReports&) = default;
+};
+
 /// Asks for the bundle the receiver has in force.
 struct BundleRequest
 {
@@ -154,6 +164,7 @@
                              StrayFlows,
                              SyncRequest,
                              Sync,
+                             LoadReports,
                              BundleRequest,
                              BundleReply>;
 
--- a/src/wasabiloom/peer/SendBudget.cpp
+++ b/src/wasabiloom/peer/SendBudget.cpp
@@ -23,6 +23,13 @@
   return m_bytes > 0 ? static_cast<std::size_t>(m_bytes) : 0;
 }
 
+std::size_t
+SendBudget::Spare() const
+{
+  const std::int64_t spare = m_bytes - kReserveBytes;
+  return spare > 0 ? static_cast<std::size_t>(spare) : 0;
+}
+
 void
 SendBudget::Spend(std::size_t aBytes)
 {
--- a/src/wasabiloom/peer/SendBudget.h
+++ b/src/wasabiloom/peer/SendBudget.h
@@ -19,6 +19,10 @@
   /// Bytes that may be sent now; 0 while in debt.
   std::size_t Available() const;
 
+  /// Bytes that may be sent for what is merely useful: a part is kept back for
+  /// what is needed.
+  std::size_t Spare() const;
+
   /// Notes `aBytes` as sent.
   void Spend(std::size_t aBytes);
 
@@ -26,8 +30,9 @@
   std::int64_t m_bytes = kBurstBytes;
   base::Instant m_refilledAt;
 
-  static constexpr std::int64_t kBytesPerSecond = 600;
+  static constexpr std::int64_t kBytesPerSecond = 400;
   static constexpr std::int64_t kBurstBytes = 3000;
+  static constexpr std::int64_t kReserveBytes = 1000;
 };
 
 } // namespace wasabiloom::peer
--- a/src/wasabiloom/steering/ShardAgent.cpp
+++ b/src/wasabiloom/steering/ShardAgent.cpp
@@ -147,7 +147,8 @@
   const bool ownWindow =
     IsOwnWindow() && m_state.m_window->m_rows.test(flow.m_row);
   const bool atRisk = ownWindow || m_owner.IsCommitting(flow.m_row);
-  if (atRisk && aResult.m_isNew) {
+  const bool wanted = aResult.m_isNew || aArrival.m_relayedFrom != kNoHost;
+  if (atRisk && wanted) {
     SendNotice(aArrival, aResult.m_slot);
   }
 }
--- a/src/wasabiloom/steering/ShardOwner.cpp
+++ b/src/wasabiloom/steering/ShardOwner.cpp
@@ -1,7 +1,6 @@
 #include "wasabiloom/steering/ShardOwner.h"
 
 #include <algorithm>
-#include <array>
 
 namespace wasabiloom::steering {
 
@@ -94,15 +93,24 @@
   return current == kNoSlot || !m_state.Directory().At(current).m_takesNew;
 }
 
+RowLoads
+ShardOwner::CountFlows() const
+{
+  RowLoads loads{};
+  m_state.m_flows.ForEach(
+    [&](const FlowTable::Entry& aEntry) { ++loads.at(aEntry.m_row); });
+  return loads;
+}
+
 /// All urgent moves, and as many of the others as time and budget allow.
 std::vector<SlotMove>
-ShardOwner::Pace(const std::vector<SlotMove>& aMoves, base::Instant aNow)
+ShardOwner::Pace(const std::vector<SlotMove>& aMoves,
+                 const RowLoads& aLoads,
+                 base::Instant aNow)
 {
-  std::array<std::size_t, kRowsPerShard> flowsInRow{};
-  m_state.m_flows.ForEach(
-    [&](const FlowTable::Entry& aEntry) { ++flowsInRow.at(aEntry.m_row); });
-  const bool mayBalance = aNow - m_pacedAt >= kPacedInterval;
-  const std::size_t allowed = mayBalance ? m_outbox.Budget().Available() : 0;
+  const bool mayBalance =
+    aNow - m_pacedAt >= kPacedInterval && !HasRecentDeparture(aNow);
+  const std::size_t allowed = mayBalance ? m_outbox.Budget().Spare() : 0;
   std::vector<SlotMove> due;
   std::size_t flows = 0;
   for (const SlotMove& move : aMoves) {
@@ -110,7 +118,7 @@
       due.push_back(move);
     } else if (CostOf(flows) < allowed) {
       due.push_back(move);
-      flows += flowsInRow.at(move.m_row);
+      flows += aLoads.at(move.m_row);
       m_pacedAt = aNow;
     } else {
       m_planAt = aNow + kPacedInterval;
@@ -131,8 +139,10 @@
 std::vector<SlotMove>
 ShardOwner::MovesDue(bool aTakeover, base::Instant aNow)
 {
-  auto moves =
-    Pace(PlanMoves(m_state.Key(), m_state.m_table, m_state.Directory()), aNow);
+  const RowLoads loads = CountFlows();
+  const auto planned =
+    PlanMoves(m_state.Key(), m_state.m_table, m_state.Directory(), loads);
+  auto moves = Pace(planned, loads, aNow);
   RowSet closed;
   for (const SlotMove& move : moves) {
     closed.set(move.m_row);
@@ -276,7 +286,6 @@
 {
   m_state.m_window->m_switched = true;
   m_progress->m_stage = Stage::Lingering;
-  m_planDue = false;
   Advance(aNow);
 }
 
@@ -285,15 +294,19 @@
 bool
 ShardOwner::MayCommit(base::Instant aNow)
 {
-  const base::Instant departure = m_view.LastDeparture();
-  const bool departed =
-    departure != base::Instant{} && aNow - departure < kDepartureMemory;
-  if (!departed && m_outbox.Budget().Available() > 0) {
+  if (!HasRecentDeparture(aNow) && m_outbox.Budget().Available() > 0) {
     return true;
   }
   return IsUrgentPlanDue();
 }
 
+bool
+ShardOwner::HasRecentDeparture(base::Instant aNow) const
+{
+  const base::Instant departure = m_view.LastDeparture();
+  return departure != base::Instant{} && aNow - departure < kDepartureMemory;
+}
+
 bool
 ShardOwner::IsUrgentPlanDue()
 {
--- a/src/wasabiloom/steering/ShardOwner.h
+++ b/src/wasabiloom/steering/ShardOwner.h
@@ -77,13 +77,16 @@
   void CreateFirstTable(std::uint64_t aBundleVersion);
   void StartIfDue(base::Instant aNow);
   bool IsUrgent(const ShardTable& aTable, const SlotMove& aMove) const;
+  RowLoads CountFlows() const;
   std::vector<SlotMove> Pace(const std::vector<SlotMove>& aMoves,
+                             const RowLoads& aLoads,
                              base::Instant aNow);
   std::vector<SlotMove> MovesDue(bool aTakeover, base::Instant aNow);
   void Start(std::vector<SlotMove> aMoves, bool aTakeover, base::Instant aNow);
   void Advance(base::Instant aNow);
   void Switch(base::Instant aNow);
   bool MayCommit(base::Instant aNow);
+  bool HasRecentDeparture(base::Instant aNow) const;
   bool IsUrgentPlanDue();
   std::size_t CostOf(std::size_t aFlows) const;
   void TakeFlows(Window& aWindow, const std::vector<PinnedFlow>& aFlows);
--- a/src/wasabiloom/steering/ShardPlanner.cpp
+++ b/src/wasabiloom/steering/ShardPlanner.cpp
@@ -22,6 +22,13 @@
   return base::Combine(base::Combine(HashShard(aKey), aRow), aTarget.m_value);
 }
 
+/// Weight after correction.
+std::uint64_t
+ShareOf(const TargetInfo& aTarget)
+{
+  return std::uint64_t{ aTarget.m_weight } * aTarget.m_correction;
+}
+
 std::vector<Quota>
 MakeQuotas(const ShardKey& aKey, const TargetDirectory& aDirectory)
 {
@@ -32,7 +39,7 @@
     if (info.m_takesNew) {
       const auto tieBreak = Score(aKey, kRowsPerShard, info.m_id);
       quotas.push_back({ static_cast<TargetSlot>(slot), tieBreak, 0, 0 });
-      total += info.m_weight;
+      total += ShareOf(info);
     }
   }
   if (total == 0) {
@@ -40,7 +47,7 @@
   }
   for (Quota& quota : quotas) {
     const std::uint64_t share =
-      std::uint64_t{ kRowsPerShard } * aDirectory.At(quota.m_slot).m_weight;
+      kRowsPerShard * ShareOf(aDirectory.At(quota.m_slot));
     quota.m_rows = share / total;
     quota.m_remainder = share % total;
   }
@@ -71,10 +78,12 @@
   Planner(const ShardKey& aKey,
           const ShardTable& aTable,
           const TargetDirectory& aDirectory,
+          const RowLoads& aLoads,
           const std::vector<Quota>& aQuotas)
     : m_key(aKey)
     , m_table(aTable)
     , m_directory(aDirectory)
+    , m_loads(aLoads)
     , m_room(aDirectory.Size(), 0)
   {
     for (const Quota& quota : aQuotas) {
@@ -95,13 +104,14 @@
   }
 
 private:
-  /// Keeps each backend server's best-scored rows; yields the others.
+  /// Keeps each backend server's fullest rows; yields the others.
   std::vector<std::uint16_t> KeepRowsWithinQuota()
   {
     std::vector<std::uint16_t> rows(kRowsPerShard);
     std::iota(rows.begin(), rows.end(), std::uint16_t{ 0 });
     std::ranges::sort(rows, [&](std::uint16_t aLeft, std::uint16_t aRight) {
-      return RowScore(aLeft) > RowScore(aRight);
+      return std::pair(m_loads[aLeft], RowScore(aLeft)) >
+             std::pair(m_loads[aRight], RowScore(aRight));
     });
     std::vector<std::uint16_t> freed;
     for (const std::uint16_t row : rows) {
@@ -140,6 +150,7 @@
   const ShardKey& m_key;
   const ShardTable& m_table;
   const TargetDirectory& m_directory;
+  const RowLoads& m_loads;
   std::vector<std::size_t> m_room;
 };
 
@@ -148,14 +159,15 @@
 std::vector<SlotMove>
 PlanMoves(const ShardKey& aKey,
           const ShardTable& aTable,
-          const TargetDirectory& aDirectory)
+          const TargetDirectory& aDirectory,
+          const RowLoads& aLoads)
 {
   auto quotas = MakeQuotas(aKey, aDirectory);
   if (quotas.empty()) {
     return {};
   }
   DistributeRemainder(quotas);
-  return Planner(aKey, aTable, aDirectory, quotas).Run();
+  return Planner(aKey, aTable, aDirectory, aLoads, quotas).Run();
 }
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/ShardPlanner.h
+++ b/src/wasabiloom/steering/ShardPlanner.h
@@ -4,6 +4,7 @@
 #include "wasabiloom/steering/ShardTable.h"
 #include "wasabiloom/steering/TargetDirectory.h"
 
+#include <array>
 #include <vector>
 
 namespace wasabiloom::steering {
@@ -17,13 +18,17 @@
   friend auto operator<=>(const SlotMove&, const SlotMove&) = default;
 };
 
+/// Flows remembered in each row.
+using RowLoads = std::array<std::uint16_t, kRowsPerShard>;
+
 /// Fewest moves after which every backend server that takes new work holds
-/// rows in proportion to its weight, and no other holds any. Deterministic:
-/// hosts with equal tables and directories get equal moves. Empty when no
-/// backend server takes new work. Thread safe.
+/// rows in proportion to its weight, and no other holds any. Where there is a
+/// choice, rows with few flows move, since each of their flows must be told.
+/// Deterministic. Empty when no backend server takes new work. Thread safe.
 std::vector<SlotMove>
 PlanMoves(const ShardKey& aKey,
           const ShardTable& aTable,
-          const TargetDirectory& aDirectory);
+          const TargetDirectory& aDirectory,
+          const RowLoads& aLoads = {});
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/TargetDirectory.cpp
+++ b/src/wasabiloom/steering/TargetDirectory.cpp
@@ -43,6 +43,15 @@
   Refresh();
 }
 
+bool
+TargetDirectory::SetCorrection(TargetSlot aSlot, std::uint32_t aPercent)
+{
+  std::uint32_t& correction = m_targets[aSlot].m_correction;
+  const bool changed = correction != aPercent;
+  correction = aPercent;
+  return changed;
+}
+
 TargetSlot
 TargetDirectory::SlotOf(const TargetId& aId)
 {
--- a/src/wasabiloom/steering/TargetDirectory.h
+++ b/src/wasabiloom/steering/TargetDirectory.h
@@ -19,6 +19,8 @@
   std::string m_zone;
   base::Endpoint m_endpoint;
   std::uint32_t m_weight = 0;
+  /// Share of the weight that new work should follow, in percent.
+  std::uint32_t m_correction = 100;
   std::uint32_t m_slots = 0;
   bool m_known = false;
   bool m_takesPackets = false;
@@ -42,6 +44,9 @@
   /// Names of backend servers that the host list calls leaving.
   void SetLeaving(const std::vector<std::string>& aNames);
 
+  /// Sets the correction of a slot; returns whether it changed.
+  bool SetCorrection(TargetSlot aSlot, std::uint32_t aPercent);
+
   /// Slot of `aId`; an identity not yet in any bundle gets a slot that takes
   /// no packets until a bundle names it.
   TargetSlot SlotOf(const TargetId& aId);
--- a/src/wasabiloom/wire/PeerCodec.cpp
+++ b/src/wasabiloom/wire/PeerCodec.cpp
@@ -334,6 +334,34 @@
   return message;
 }
 
+void
+Put(LoadReports* aOut, const peer::LoadReports& aMessage)
+{
+  aOut->set_service(aMessage.m_service.m_value);
+  for (const health::TargetReport& report : aMessage.m_reports) {
+    LoadReport* out = aOut->add_reports();
+    out->set_target(report.m_target.m_value);
+    out->set_flows(report.m_flows);
+    out->set_warmth(static_cast<std::uint32_t>(report.m_warmth));
+  }
+}
+
+peer::LoadReports
+Get(const LoadReports& aIn)
+{
+  peer::LoadReports message;
+  message.m_service = { aIn.service() };
+  for (const LoadReport& report : aIn.reports()) {
+    Require(report.warmth() <=
+            static_cast<std::uint32_t>(health::Warmth::Cold));
+    message.m_reports.push_back(
+      { { report.target() },
+        report.flows(),
+        static_cast<health::Warmth>(report.warmth()) });
+  }
+  return message;
+}
+
 // --- datagram ---------------------------------------------------------------
 
 /// Writes the body of a datagram, one overload for each kind of message.
@@ -377,6 +405,10 @@
   {
     Put(m_out.mutable_sync(), aMessage);
   }
+  void operator()(const peer::LoadReports& aMessage) const
+  {
+    Put(m_out.mutable_load_reports(), aMessage);
+  }
   void operator()(const peer::BundleRequest& /*aMessage*/) const
   {
     m_out.mutable_bundle_request();
@@ -409,6 +441,8 @@
       return Get(aIn.sync_request());
     case PeerDatagram::kSync:
       return Get(aIn.sync());
+    case PeerDatagram::kLoadReports:
+      return Get(aIn.load_reports());
     case PeerDatagram::kBundleRequest:
       return peer::BundleRequest{};
     case PeerDatagram::kBundleReply:
--- a/tests/support/SampleBundle.cpp
+++ b/tests/support/SampleBundle.cpp
@@ -36,7 +36,7 @@
   aOut << "{\"name\":" << Quoted(aService.m_name)
        << ",\"address\":" << Quoted(ToString(aService.m_address.m_endpoint))
        << ",\"mode\":" << (flows ? "\"connections\"" : "\"requests\"")
-       << ",\"targets\":[";
+       << ",\"status_port\":" << aService.m_statusPort << ",\"targets\":[";
   for (std::size_t i = 0; i < aService.m_targets.size(); ++i) {
     aOut << (i == 0 ? "" : ",");
     WriteTarget(aOut, aService.m_targets[i]);
--- a/tests/unit/HostCoreTests.cpp
+++ b/tests/unit/HostCoreTests.cpp
@@ -28,6 +28,11 @@
   {
     m_sent.push_back(aDatagram);
   }
+  void ProbeTarget(const steering::ServiceId&,
+                   const steering::TargetId&,
+                   const base::Endpoint&) override
+  {
+  }
   void LogFlow(const core::FlowDecision& aDecision) override
   {
     m_flows.push_back(aDecision);
