Fewer control bytes: personal commits, heartbeats only into silence

A commit leaves out the flows its receiver told itself; a heartbeat is not sent where another message has just gone; load reports every 10 s.

--- a/src/wasabiloom/core/HealthMonitor.cpp
+++ b/src/wasabiloom/core/HealthMonitor.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr base::Duration kProbeInterval = std::chrono::seconds(3);
-constexpr base::Duration kTellInterval = std::chrono::seconds(6);
+constexpr base::Duration kTellInterval = std::chrono::seconds(10);
 constexpr base::Duration kCorrectionInterval = std::chrono::seconds(6);
 
 /// An older report counts for nothing.
-constexpr base::Duration kReportLifetime = std::chrono::seconds(20);
+constexpr base::Duration kReportLifetime = std::chrono::seconds(35);
 
 } // namespace
 
--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -305,6 +305,7 @@
   if (peer == nullptr) {
     return;
   }
+  m_membership.NoteSent(aTo, m_tickedAt);
   m_effects.SendPeer(
     peer->m_peer, { m_membership.Self(), m_identity.m_incarnation, aMessage });
 }
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -185,10 +185,7 @@
 Membership::Tick(const KnownVersions& aVersions, base::Instant aNow)
 {
   DropSilent(aNow);
-  if (aNow - m_sentAt >= kHeartbeatInterval) {
-    m_sentAt = aNow;
-    SendHeartbeats(aVersions);
-  }
+  SendHeartbeats(aVersions, aNow);
 }
 
 void
@@ -208,16 +205,32 @@
   }
 }
 
+/// A heartbeat goes to every peer that has heard nothing for an interval, or
+/// does not know what this host would say now.
 void
-Membership::SendHeartbeats(const KnownVersions& aVersions)
+Membership::SendHeartbeats(const KnownVersions& aVersions, base::Instant aNow)
 {
   Heartbeat heartbeat;
   heartbeat.m_phase = m_phase;
   heartbeat.m_bundleVersion = aVersions.m_bundle;
   heartbeat.m_listRevision = aVersions.m_list;
-  for (const auto& [host, peer] : m_peers) {
+  for (auto& [host, peer] : m_peers) {
     heartbeat.m_hearsReceiver = peer.m_live;
-    m_outbox.Send(host, heartbeat);
+    const bool silent = aNow - peer.m_sentAt >= kHeartbeatInterval;
+    if (silent || heartbeat != peer.m_told) {
+      peer.m_told = heartbeat;
+      peer.m_sentAt = aNow;
+      m_outbox.Send(host, heartbeat);
+    }
+  }
+}
+
+void
+Membership::NoteSent(base::HostId aTo, base::Instant aNow)
+{
+  const auto found = m_peers.find(aTo);
+  if (found != m_peers.end()) {
+    found->second.m_sentAt = aNow;
   }
 }
 
@@ -228,8 +241,7 @@
 {
   m_phase = aPhase;
   Refresh();
-  m_sentAt = aNow;
-  SendHeartbeats(aVersions);
+  SendHeartbeats(aVersions, aNow);
 }
 
 void
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -66,6 +66,10 @@
   /// sender is not in the list, or a newer process uses its name.
   bool Hear(base::HostId aFrom, std::uint64_t aIncarnation, base::Instant aNow);
 
+  /// Notes a message to `aTo`: it says that this host lives as well as a
+  /// heartbeat does.
+  void NoteSent(base::HostId aTo, base::Instant aNow);
+
   /// Precondition: Hear accepted the sender.
   void OnHeartbeat(base::HostId aFrom, const Heartbeat& aHeartbeat);
 
@@ -107,11 +111,13 @@
     bool m_hearsMe = false;
     std::uint64_t m_bundleVersion = 0;
     base::Instant m_heardAt;
+    base::Instant m_sentAt;
+    Heartbeat m_told;
   };
 
   void Refresh();
   void DropSilent(base::Instant aNow);
-  void SendHeartbeats(const KnownVersions& aVersions);
+  void SendHeartbeats(const KnownVersions& aVersions, base::Instant aNow);
   std::vector<base::HostId> Candidates() const;
 
   base::HostId m_self;
@@ -124,7 +130,6 @@
   std::uint64_t m_generation = 1;
   bool m_hasList = false;
   base::Instant m_listenSince;
-  base::Instant m_sentAt;
   base::Instant m_lastDeparture;
 };
 
--- a/src/wasabiloom/steering/ShardFollower.cpp
+++ b/src/wasabiloom/steering/ShardFollower.cpp
@@ -86,6 +86,8 @@
       answer.m_flows.push_back(flow);
     }
   }
+  std::ranges::sort(answer.m_flows);
+  m_contributed = answer.m_flows;
   m_outbox.Budget().Spend(answer.m_flows.size() * kFlowBytes);
   m_outbox.Send(aFrom, answer);
 }
@@ -99,10 +101,8 @@
   const bool expected =
     m_state.m_window && m_state.m_window->m_version == aMessage.m_version;
   if (expected) {
-    for (const PinnedFlow& flow : aMessage.m_additions) {
-      const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
-      m_state.m_window->m_known.Put(flow.m_flow, slot, 0);
-    }
+    m_state.TakeFlows(*m_state.m_window, m_contributed);
+    m_state.TakeFlows(*m_state.m_window, aMessage.m_additions);
     m_state.ApplyWindow(aNow);
     m_owner.RequestPlan();
   }
--- a/src/wasabiloom/steering/ShardFollower.h
+++ b/src/wasabiloom/steering/ShardFollower.h
@@ -47,6 +47,8 @@
   ShardOwner& m_owner;
   const peer::HostView& m_view;
   peer::Outbox& m_outbox;
+  /// Flows this host told the owner of the open window.
+  std::vector<PinnedFlow> m_contributed;
   base::Instant m_askedAt;
   base::Instant m_windowSince;
 };
--- a/src/wasabiloom/steering/ShardOwner.cpp
+++ b/src/wasabiloom/steering/ShardOwner.cpp
@@ -205,16 +205,15 @@
     }
   }
   m_strays.clear();
-  TakeFlows(window, progress.m_proposed);
+  m_state.TakeFlows(window, progress.m_proposed);
   std::ranges::sort(progress.m_proposed);
   if (m_outbox.Budget().Available() == 0) {
     progress.m_proposed.clear();
   }
   progress.m_version = window.m_version;
   progress.m_rows = window.m_rows;
-  peer::Propose propose = m_state.DescribeWindow(window);
-  propose.m_known = progress.m_proposed;
-  progress.m_message = propose;
+  progress.m_propose = m_state.DescribeWindow(window);
+  progress.m_propose.m_known = progress.m_proposed;
   Observe(window.m_version);
   m_state.m_window = std::move(window);
   m_progress = std::move(progress);
@@ -224,21 +223,15 @@
   Advance(aNow);
 }
 
-/// Adds flows to those known in `aWindow`.
-void
-ShardOwner::TakeFlows(Window& aWindow, const std::vector<PinnedFlow>& aFlows)
-{
-  for (const PinnedFlow& flow : aFlows) {
-    const TargetSlot slot = m_state.Directory().SlotOf(flow.m_target);
-    aWindow.m_known.Put(flow.m_flow, slot, 0);
-  }
-}
-
 void
 ShardOwner::SendToAwaited(base::Instant aNow)
 {
   for (const base::HostId host : m_progress->m_awaited) {
-    m_outbox.Send(host, m_progress->m_message);
+    if (m_progress->m_stage == Stage::Committing) {
+      m_outbox.Send(host, CommitFor(host));
+    } else {
+      m_outbox.Send(host, m_progress->m_propose);
+    }
   }
   m_progress->m_sentAt = aNow;
 }
@@ -327,25 +320,38 @@
 ShardOwner::SendCommit(base::Instant aNow)
 {
   Window& window = *m_state.m_window;
-  TakeFlows(window, m_state.FlowsAtRisk(window, aNow));
-  const peer::Propose whole = m_state.DescribeWindow(window);
-  peer::Commit commit;
-  commit.m_shard = m_state.Key();
-  commit.m_version = window.m_version;
-  for (const PinnedFlow& flow : whole.m_known) {
+  m_state.TakeFlows(window, m_state.FlowsAtRisk(window, aNow));
+  for (const PinnedFlow& flow : m_state.DescribeWindow(window).m_known) {
     if (!std::ranges::binary_search(m_progress->m_proposed, flow)) {
-      commit.m_additions.push_back(flow);
+      m_progress->m_additions.push_back(flow);
     }
   }
   m_state.ApplyWindow(aNow);
   m_progress->m_stage = Stage::Committing;
-  m_outbox.Budget().Spend(CostOf(commit.m_additions.size()));
-  m_progress->m_message = commit;
+  m_outbox.Budget().Spend(CostOf(m_progress->m_additions.size()));
   AwaitAll();
   SendToAwaited(aNow);
   Advance(aNow);
 }
 
+/// The commit for one host: what it told itself need not be repeated.
+peer::Commit
+ShardOwner::CommitFor(base::HostId aHost) const
+{
+  peer::Commit commit;
+  commit.m_shard = m_state.Key();
+  commit.m_version = m_progress->m_version;
+  const auto told = m_progress->m_contributed.find(aHost);
+  for (const PinnedFlow& flow : m_progress->m_additions) {
+    const bool known = told != m_progress->m_contributed.end() &&
+                       std::ranges::binary_search(told->second, flow);
+    if (!known) {
+      commit.m_additions.push_back(flow);
+    }
+  }
+  return commit;
+}
+
 void
 ShardOwner::OnContribute(base::HostId aFrom,
                          const peer::Contribute& aMessage,
@@ -376,6 +382,7 @@
       m_state.m_window->m_known.Put(flow.m_flow, slot, 0);
     }
   }
+  m_progress->m_contributed[aFrom] = aMessage.m_flows;
   m_progress->m_awaited.erase(aFrom);
   Advance(aNow);
 }
--- a/src/wasabiloom/steering/ShardOwner.h
+++ b/src/wasabiloom/steering/ShardOwner.h
@@ -5,6 +5,7 @@
 #include "wasabiloom/peer/Outbox.h"
 #include "wasabiloom/steering/ShardState.h"
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -70,7 +71,9 @@
     RowSet m_rows;
     std::set<base::HostId> m_awaited;
     std::vector<PinnedFlow> m_proposed;
-    peer::Message m_message;
+    std::vector<PinnedFlow> m_additions;
+    std::map<base::HostId, std::vector<PinnedFlow>> m_contributed;
+    peer::Propose m_propose;
     base::Instant m_sentAt;
   };
 
@@ -89,7 +92,7 @@
   bool HasRecentDeparture(base::Instant aNow) const;
   bool IsUrgentPlanDue();
   std::size_t CostOf(std::size_t aFlows) const;
-  void TakeFlows(Window& aWindow, const std::vector<PinnedFlow>& aFlows);
+  peer::Commit CommitFor(base::HostId aHost) const;
   void SendCommit(base::Instant aNow);
   void AwaitAll();
   void SendToAwaited(base::Instant aNow);
--- a/src/wasabiloom/steering/ShardState.cpp
+++ b/src/wasabiloom/steering/ShardState.cpp
@@ -46,10 +46,7 @@
     window.m_moves.push_back({ move.m_row, m_directory.SlotOf(move.m_target) });
   }
   std::ranges::sort(window.m_moves);
-  for (const PinnedFlow& flow : aPropose.m_known) {
-    const TargetSlot slot = m_directory.SlotOf(flow.m_target);
-    window.m_known.Put(flow.m_flow, slot, 0);
-  }
+  TakeFlows(window, aPropose.m_known);
   return window;
 }
 
@@ -88,6 +85,16 @@
   return ToSeconds(aNow) - aEntry.m_seen <= kIdle && KeepsFlows(aEntry.m_slot);
 }
 
+void
+ShardState::TakeFlows(Window& aWindow,
+                      const std::vector<PinnedFlow>& aFlows) const
+{
+  for (const PinnedFlow& flow : aFlows) {
+    const TargetSlot slot = m_directory.SlotOf(flow.m_target);
+    aWindow.m_known.Put(flow.m_flow, slot, 0);
+  }
+}
+
 std::vector<PinnedFlow>
 ShardState::FlowsAtRisk(const Window& aWindow, base::Instant aNow) const
 {
--- a/src/wasabiloom/steering/ShardState.h
+++ b/src/wasabiloom/steering/ShardState.h
@@ -51,6 +51,9 @@
   /// Message that describes `aWindow`.
   peer::Propose DescribeWindow(const Window& aWindow) const;
 
+  /// Adds flows to those known in `aWindow`.
+  void TakeFlows(Window& aWindow, const std::vector<PinnedFlow>& aFlows) const;
+
   /// Recently seen flows of `aWindow`'s rows that will not be on their row's
   /// new default; in a takeover also those that are not on the old one.
   std::vector<PinnedFlow> FlowsAtRisk(const Window& aWindow,
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -83,7 +83,7 @@
 }
 write_service() { # NAME ADDRESS MODE NET PORT COUNT DRAINING
   local n state
-  echo "    { \"name\": \"$1\", \"address\": \"$2\", \"mode\": \"$3\", \"targets\": ["
+  echo "    { \"name\": \"$1\", \"address\": \"$2\", \"mode\": \"$3\", \"status_port\": 8080, \"targets\": ["
   for ((n = 1; n <= $6; n++)); do
     state=active
     [[ "$1-$n" == "$7" ]] && state=draining
