--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -485,6 +485,9 @@
   }
   const bool complete = m_bundle.m_version > 0 && HasAllTables();
   if (complete && m_membership.IsHeardByAll()) {
+    if (m_membership.HasReadyPeer()) {
+      m_membership.AssumeDeparture(aNow);
+    }
     SetPhase(HostPhase::Ready, aNow);
   }
 }
--- a/src/wasabiloom/peer/HostView.h
+++ b/src/wasabiloom/peer/HostView.h
@@ -40,10 +40,11 @@
   virtual base::HostId OwnerOf(std::uint64_t aGroup,
                                std::size_t aMember) const = 0;
 
-  /// Host that would own the member if this host did not exist; this host
-  /// when it is alone.
+  /// Host that would own the member if neither this host nor `aOther` existed;
+  /// this host when there is no third. `aOther` may be zero.
   virtual base::HostId BackupOf(std::uint64_t aGroup,
-                                std::size_t aMember) const = 0;
+                                std::size_t aMember,
+                                base::HostId aOther) const = 0;
 
   /// When a peer last died, left or restarted: the flows that it alone had
   /// seen are known to nobody since.
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -7,17 +7,14 @@
 
 namespace {
 
-/// The candidates but for `aExcept`, best score for `aHash` first.
+/// The candidates, best score for `aHash` first.
 std::vector<base::HostId>
-RankFor(const std::vector<base::HostId>& aCandidates,
-        std::uint64_t aHash,
-        base::HostId aExcept)
+RankFor(const std::vector<base::HostId>& aCandidates, std::uint64_t aHash)
 {
   std::vector<std::pair<std::uint64_t, base::HostId>> scored;
+  scored.reserve(aCandidates.size());
   for (const base::HostId host : aCandidates) {
-    if (host != aExcept) {
-      scored.emplace_back(base::Combine(aHash, host.m_value), host);
-    }
+    scored.emplace_back(base::Combine(aHash, host.m_value), host);
   }
   std::ranges::sort(scored, std::greater<>());
   std::vector<base::HostId> ranked;
@@ -70,14 +67,18 @@
 base::HostId
 Membership::OwnerOf(std::uint64_t aGroup, std::size_t aMember) const
 {
-  const auto ranked = RankFor(m_candidates, aGroup, base::HostId{});
+  const auto ranked = RankFor(m_candidates, aGroup);
   return ranked[aMember % ranked.size()];
 }
 
 base::HostId
-Membership::BackupOf(std::uint64_t aGroup, std::size_t aMember) const
+Membership::BackupOf(std::uint64_t aGroup,
+                     std::size_t aMember,
+                     base::HostId aOther) const
 {
-  const auto ranked = RankFor(m_candidates, aGroup, m_self);
+  auto ranked = RankFor(m_candidates, aGroup);
+  std::erase(ranked, m_self);
+  std::erase(ranked, aOther);
   return ranked.empty() ? m_self : ranked[aMember % ranked.size()];
 }
 
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -54,7 +54,8 @@
   base::HostId OwnerOf(std::uint64_t aGroup,
                        std::size_t aMember) const override;
   base::HostId BackupOf(std::uint64_t aGroup,
-                        std::size_t aMember) const override;
+                        std::size_t aMember,
+                        base::HostId aOther) const override;
   base::Instant LastDeparture() const override { return m_lastDeparture; }
   std::uint64_t Generation() const override { return m_generation; }
 
@@ -85,6 +86,10 @@
   /// Treats every peer as unheard, after a pause of this process.
   void ForgetAll(base::Instant aNow);
 
+  /// Supposes that a peer has just departed: a host that joins a running
+  /// fleet has not seen who left before.
+  void AssumeDeparture(base::Instant aNow) { m_lastDeparture = aNow; }
+
   /// Whether every live ready peer hears this host.
   bool IsHeardByAll() const;
 
--- a/src/wasabiloom/steering/ShardAgent.cpp
+++ b/src/wasabiloom/steering/ShardAgent.cpp
@@ -147,27 +147,31 @@
   const bool ownWindow =
     IsOwnWindow() && m_state.m_window->m_rows.test(flow.m_row);
   const bool atRisk = ownWindow || m_owner.IsCommitting(flow.m_row);
-  const bool wanted = aResult.m_isNew || aArrival.m_relayedFrom != kNoHost;
-  if (atRisk && wanted) {
-    SendNotice(aArrival, aResult.m_slot);
+  if (atRisk) {
+    SendNotices(aArrival, aResult);
   }
 }
 
-/// A placement made inside a window must survive the loss of this host.
+/// A placement made inside a window must survive the loss of this host and of
+/// the one that relayed the packet, at the same time.
 void
-ShardAgent::SendNotice(const Arrival& aArrival, TargetSlot aSlot)
+ShardAgent::SendNotices(const Arrival& aArrival, const SteerResult& aResult)
 {
-  base::HostId to = aArrival.m_relayedFrom;
-  if (to == kNoHost) {
-    const ShardKey& key = m_state.Key();
-    to = m_view.BackupOf(HashService(key.m_service), key.m_shard);
+  const ShardKey& key = m_state.Key();
+  const TargetId target = m_state.Directory().At(aResult.m_slot).m_id;
+  const peer::PlacementNotice notice{ key, { aArrival.m_flow, target } };
+  const base::HostId relay = aArrival.m_relayedFrom;
+  if (relay != kNoHost) {
+    m_outbox.Send(relay, notice);
   }
-  if (to == m_view.Self()) {
+  if (!aResult.m_isNew) {
     return;
   }
-  const TargetId target = m_state.Directory().At(aSlot).m_id;
-  m_outbox.Send(
-    to, peer::PlacementNotice{ m_state.Key(), { aArrival.m_flow, target } });
+  const auto backup =
+    m_view.BackupOf(HashService(key.m_service), key.m_shard, relay);
+  if (backup != m_view.Self()) {
+    m_outbox.Send(backup, notice);
+  }
 }
 
 void
--- a/src/wasabiloom/steering/ShardAgent.h
+++ b/src/wasabiloom/steering/ShardAgent.h
@@ -86,7 +86,7 @@
   void Remember(const Arrival& aArrival,
                 SteerResult& aResult,
                 base::Instant aNow);
-  void SendNotice(const Arrival& aArrival, TargetSlot aSlot);
+  void SendNotices(const Arrival& aArrival, const SteerResult& aResult);
 
   ShardState m_state;
   const peer::HostView& m_view;
