Requests in scenarios; a short queue keeps slots busy under overload

Now a few requests wait at their home, at most half their time; one that ends hands its slot to the oldest.

--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -127,6 +127,16 @@
     m_listener->OnLost(aPacket, "no host");
     return;
   }
+  SprayOnce(aPacket);
+  if (m_duplication > 0 &&
+      std::uniform_real_distribution<double>(0, 1)(m_random) < m_duplication) {
+    SprayOnce(aPacket);
+  }
+}
+
+void
+Fleet::SprayOnce(const TravellingPacket& aPacket)
+{
   std::uniform_int_distribution<std::size_t> pick(0, m_fabric.size() - 1);
   const int host = m_fabric[pick(m_random)];
   m_queue.After(CallerDelay(), [this, host, aPacket] {
--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -107,6 +107,9 @@
   void Cut(const std::set<int>& aLeft, const std::set<int>& aRight);
   void Heal();
 
+  /// Share of packets that the fabric delivers twice.
+  void SetDuplication(double aShare) { m_duplication = aShare; }
+
   /// Whether the platform answers hosts.
   void SetPlatformUp(bool aUp);
 
@@ -121,6 +124,7 @@
 private:
   class Host;
 
+  void SprayOnce(const TravellingPacket& aPacket);
   void DeliverPacket(int aHost,
                      const TravellingPacket& aPacket,
                      base::HostId aFrom);
@@ -153,6 +157,7 @@
   std::set<std::pair<int, int>> m_cut;
   std::vector<int> m_fabric;
   bool m_platformUp = true;
+  double m_duplication = 0;
   std::uint64_t m_incarnation = 0;
   std::int64_t m_traced = -1;
   steering::ShardKey m_tracedShard;
--- a/scenario/Runner.cpp
+++ b/scenario/Runner.cpp
@@ -3,6 +3,7 @@
 #include "EventQueue.h"
 #include "Fleet.h"
 #include "FlowLoad.h"
+#include "RequestLoad.h"
 #include "Site.h"
 
 #include <functional>
@@ -25,6 +26,12 @@
     , m_site(aScript)
     , m_fleet(aScript, aPolicy, m_site, m_queue, m_measures, aScript.m_seed)
     , m_flows(aScript, m_site, m_fleet, m_queue, m_measures, aScript.m_seed + 1)
+    , m_requests(aScript,
+                 m_site,
+                 m_fleet,
+                 m_queue,
+                 m_measures,
+                 aScript.m_seed + 2)
   {
     m_fleet.SetListener(*this);
   }
@@ -36,6 +43,7 @@
     }
     m_queue.RunUntil(m_queue.Now() + kWarmUp);
     m_flows.Start();
+    m_requests.Start();
     for (const Step& step : m_script.m_steps) {
       m_queue.After(step.m_at, [this, step] { Perform(step); });
     }
@@ -54,6 +62,7 @@
     m_measures.Set("hosts_ready_at_end", m_fleet.IsSettled() ? 1 : 0);
     m_fleet.Summarize();
     m_flows.Summarize();
+    m_requests.Summarize();
     return m_measures;
   }
 
@@ -87,12 +96,15 @@
   }
   void OnLost(const TravellingPacket& aPacket, const std::string& aWhy) override
   {
-    m_flows.OnLost(aPacket.m_tag, aWhy);
+    if (aPacket.m_tag < kFirstRequestTag) {
+      m_flows.OnLost(aPacket.m_tag, aWhy);
+    }
   }
-  void OnBackendDatagram(const base::Endpoint& /*aTo*/,
-                         const request::Envelope& /*aEnvelope*/,
-                         int /*aHost*/) override
+  void OnBackendDatagram(const base::Endpoint& aTo,
+                         const request::Envelope& aEnvelope,
+                         int aHost) override
   {
+    m_requests.OnBackendDatagram(aTo, aEnvelope, aHost);
   }
   void OnProbe(const steering::ServiceId& aService,
                const steering::TargetId& aTarget,
@@ -112,8 +124,9 @@
     });
   }
   void OnCallerDatagram(const packet::FlowKey& /*aFlow*/,
-                        const request::Envelope& /*aEnvelope*/) override
+                        const request::Envelope& aEnvelope) override
   {
+    m_requests.OnCallerDatagram(aEnvelope);
   }
 
   /// Index of the host named by a word such as "h3".
@@ -245,6 +258,10 @@
       CutZone(aWords.at(1));
     };
     m_verbs["cut"] = [this](const Words& aWords) { CutHosts(aWords); };
+    m_verbs["duplicate"] = [this](const Words& aWords) {
+      constexpr double kPercent = 100;
+      m_fleet.SetDuplication(std::stod(aWords.at(1)) / kPercent);
+    };
     m_verbs["heal"] = [this](const Words&) { m_fleet.Heal(); };
     m_verbs["platform"] = [this](const Words& aWords) {
       m_fleet.SetPlatformUp(aWords.at(1) == "up");
@@ -271,6 +288,7 @@
   Site m_site;
   Fleet m_fleet;
   FlowLoad m_flows;
+  RequestLoad m_requests;
   std::map<std::string, Verb> m_verbs;
   std::map<std::string, std::uint32_t> m_lies;
   std::string m_problem;
--- a/src/wasabiloom/request/RequestHome.cpp
+++ b/src/wasabiloom/request/RequestHome.cpp
@@ -14,6 +14,9 @@
 constexpr base::Duration kMemory = std::chrono::seconds(30);
 constexpr std::size_t kMaxParts = 1024;
 
+/// Requests of one service that may wait on one host.
+constexpr std::size_t kMaxWaiting = 16;
+
 std::chrono::milliseconds
 TimeLeft(base::Instant aDeadline, base::Instant aNow)
 {
@@ -71,26 +74,101 @@
     return;
   }
   m_budget.OnRequest();
-  Dispatch(aKey, record, aNow);
+  if (m_waiting.empty()) {
+    Dispatch(aKey, record, aNow);
+  } else {
+    WaitOrRefuse(aKey, record, aNow);
+  }
 }
 
 void
 RequestHome::Dispatch(const Key& aKey, Record& aRecord, base::Instant aNow)
 {
-  const steering::TargetSlot slot = PickTarget(aRecord);
-  if (slot == steering::kNoSlot || aRecord.m_attempts >= kMaxAttempts) {
-    const bool refused = !aRecord.m_refusedBy.empty();
-    FinishWithCode(aRecord,
-                   refused ? ResultCode::BackendRefused
-                           : ResultCode::NoCapacity,
-                   refused ? "all_refused" : "no_free_slot");
+  if (!TryDispatch(aKey, aRecord, aNow)) {
+    WaitOrRefuse(aKey, aRecord, aNow);
+  }
+}
+
+void
+RequestHome::WaitOrRefuse(const Key& aKey, Record& aRecord, base::Instant aNow)
+{
+  const bool first = aRecord.m_waitEnds == base::Instant{};
+  if (first) {
+    aRecord.m_waitEnds = aNow + (aRecord.m_deadline - aNow) / 2;
+  }
+  if (m_waiting.size() < kMaxWaiting && aNow < aRecord.m_waitEnds) {
+    aRecord.m_refusedBy.clear();
+    m_waiting.push_back(aKey);
+    return;
+  }
+  const bool refused = aRecord.m_attempts > 0;
+  FinishWithCode(aRecord,
+                 refused ? ResultCode::BackendRefused : ResultCode::NoCapacity,
+                 refused ? "all_refused" : "no_free_slot");
+}
+
+/// A slot that this host's own request has just left is the likeliest to be
+/// free: the oldest waiting request takes it.
+void
+RequestHome::DispatchWaitingTo(steering::TargetSlot aSlot, base::Instant aNow)
+{
+  if (m_waiting.empty() || !m_directory.At(aSlot).m_takesNew) {
     return;
   }
-  aRecord.m_slot = slot;
+  const Key key = m_waiting.front();
+  m_waiting.pop_front();
+  DispatchTo(aSlot, key, m_records.at(key), aNow);
+}
+
+/// Looks for slots that other hosts' requests have left, one try at a time.
+void
+RequestHome::ProbeWithWaiting(base::Instant aNow)
+{
+  if (m_waiting.empty()) {
+    return;
+  }
+  const Key key = m_waiting.front();
+  if (TryDispatch(key, m_records.at(key), aNow)) {
+    m_waiting.pop_front();
+  }
+}
+
+void
+RequestHome::RefuseOverdueWaiting(base::Instant aNow)
+{
+  std::erase_if(m_waiting, [&](const Key& aKey) {
+    Record& record = m_records.at(aKey);
+    const bool overdue = aNow >= record.m_waitEnds;
+    if (overdue) {
+      FinishWithCode(record, ResultCode::NoCapacity, "waited_too_long");
+    }
+    return overdue;
+  });
+}
+
+/// Sends the request to the least loaded backend server; false without one.
+bool
+RequestHome::TryDispatch(const Key& aKey, Record& aRecord, base::Instant aNow)
+{
+  const steering::TargetSlot slot = PickTarget(aRecord);
+  if (slot == steering::kNoSlot) {
+    return false;
+  }
+  DispatchTo(slot, aKey, aRecord, aNow);
+  return true;
+}
+
+void
+RequestHome::DispatchTo(steering::TargetSlot aSlot,
+                        const Key& aKey,
+                        Record& aRecord,
+                        base::Instant aNow)
+{
+  aRecord.m_slot = aSlot;
   aRecord.m_dispatch = NewDispatchId();
   aRecord.m_mayHaveRun = true;
   ++aRecord.m_attempts;
-  ++m_inFlight[slot];
+  ++m_inFlight[aSlot];
   m_byDispatch[aRecord.m_dispatch] = aKey;
   const auto left = aRecord.m_deadline - aNow;
   const bool maySpare = aRecord.m_request.m_repeatable;
@@ -99,8 +177,8 @@
   outgoing.m_id = aRecord.m_dispatch;
   outgoing.m_service = m_service;
   outgoing.m_deadline = TimeLeft(aRecord.m_deadline, aNow);
-  m_sink.SendToBackend(m_directory.At(slot).m_endpoint, outgoing);
-  Log(aRecord, "least_in_flight", ResultCode::Ok);
+  m_sink.SendToBackend(m_directory.At(aSlot).m_endpoint, outgoing);
+  Log(aRecord, "dispatched", ResultCode::Ok);
 }
 
 steering::TargetSlot
@@ -154,14 +232,16 @@
   const Key key = found->second;
   Record& record = m_records.at(key);
   if (aEnvelope.m_kind == EnvelopeKind::Answer) {
-    OnAnswer(record, aEnvelope);
+    OnAnswer(record, aEnvelope, aNow);
   } else if (aEnvelope.m_kind == EnvelopeKind::Refusal) {
     OnRefusal(key, record, aNow);
   }
 }
 
 void
-RequestHome::OnAnswer(Record& aRecord, const Envelope& aEnvelope)
+RequestHome::OnAnswer(Record& aRecord,
+                      const Envelope& aEnvelope,
+                      base::Instant aNow)
 {
   const bool plausible = aEnvelope.m_parts > 0 &&
                          aEnvelope.m_parts <= kMaxParts &&
@@ -176,7 +256,9 @@
   Reply(aRecord, aEnvelope);
   if (aRecord.m_replies.size() == aEnvelope.m_parts) {
     Log(aRecord, "answered", ResultCode::Ok);
+    const steering::TargetSlot freed = aRecord.m_slot;
     Finish(aRecord);
+    DispatchWaitingTo(freed, aNow);
   }
 }
 
@@ -189,16 +271,23 @@
   aRecord.m_refusedBy.insert(aRecord.m_slot);
   aRecord.m_mayHaveRun = false;
   ReleaseAttempt(aRecord);
-  if (!m_budget.TryTake()) {
-    FinishWithCode(aRecord, ResultCode::BackendRefused, "retry_budget_empty");
-    return;
+  if (m_budget.TryTake()) {
+    Dispatch(aKey, aRecord, aNow);
+  } else {
+    WaitOrRefuse(aKey, aRecord, aNow);
   }
-  Dispatch(aKey, aRecord, aNow);
 }
 
 void
 RequestHome::OnCancel(Record& aRecord)
 {
+  if (aRecord.m_dispatch.empty()) {
+    FinishWithCode(aRecord, ResultCode::Cancelled, "cancelled");
+    std::erase_if(m_waiting, [&](const Key& aKey) {
+      return m_records.at(aKey).m_finished;
+    });
+    return;
+  }
   SendCancelToBackend(aRecord);
   Log(aRecord, "cancelled", ResultCode::Cancelled);
 }
@@ -226,6 +315,10 @@
   for (const Key& key : silent) {
     OnSilence(key, m_records.at(key), aNow);
   }
+  std::erase_if(m_waiting,
+                [&](const Key& aKey) { return m_records.at(aKey).m_finished; });
+  RefuseOverdueWaiting(aNow);
+  ProbeWithWaiting(aNow);
   std::erase_if(m_records, [&](const auto& aItem) {
     const Record& record = aItem.second;
     return record.m_finished && aNow - record.m_deadline > kMemory;
--- a/src/wasabiloom/request/RequestHome.h
+++ b/src/wasabiloom/request/RequestHome.h
@@ -7,6 +7,7 @@
 #include "wasabiloom/steering/TargetDirectory.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -16,7 +17,8 @@
 
 /// Requests of one service whose home is this host. A request that is not
 /// repeatable is sent again only after a backend server refused it; silence
-/// makes its outcome unknown. One thread at a time.
+/// makes its outcome unknown. A few requests wait for a slot, each for half of
+/// its time at most; the others are refused at once. One thread at a time.
 class RequestHome
 {
 public:
@@ -40,7 +42,10 @@
   void Tick(base::Instant aNow);
 
   /// Requests not yet finished.
-  std::size_t InProgress() const { return m_byDispatch.size(); }
+  std::size_t InProgress() const
+  {
+    return m_byDispatch.size() + m_waiting.size();
+  }
 
 private:
   struct Key
@@ -61,6 +66,7 @@
     steering::TargetSlot m_slot = steering::kNoSlot;
     std::set<steering::TargetSlot> m_refusedBy;
     std::uint32_t m_attempts = 0;
+    base::Instant m_waitEnds;
     bool m_mayHaveRun = false;
     bool m_finished = false;
     std::vector<Envelope> m_replies;
@@ -72,10 +78,19 @@
              const packet::FlowKey& aFlow,
              const Envelope& aEnvelope,
              base::Instant aNow);
+  bool TryDispatch(const Key& aKey, Record& aRecord, base::Instant aNow);
+  void DispatchTo(steering::TargetSlot aSlot,
+                  const Key& aKey,
+                  Record& aRecord,
+                  base::Instant aNow);
   void Dispatch(const Key& aKey, Record& aRecord, base::Instant aNow);
-  void OnAnswer(Record& aRecord, const Envelope& aEnvelope);
+  void OnAnswer(Record& aRecord, const Envelope& aEnvelope, base::Instant aNow);
   void OnRefusal(const Key& aKey, Record& aRecord, base::Instant aNow);
   void OnCancel(Record& aRecord);
+  void WaitOrRefuse(const Key& aKey, Record& aRecord, base::Instant aNow);
+  void DispatchWaitingTo(steering::TargetSlot aSlot, base::Instant aNow);
+  void ProbeWithWaiting(base::Instant aNow);
+  void RefuseOverdueWaiting(base::Instant aNow);
   void OnSilence(const Key& aKey, Record& aRecord, base::Instant aNow);
   void FinishWithCode(Record& aRecord,
                       base::ResultCode aCode,
@@ -95,6 +110,8 @@
   const steering::TargetDirectory& m_directory;
   RequestSink& m_sink;
   Records m_records;
+  /// Requests without a backend server, oldest first.
+  std::deque<Key> m_waiting;
   std::map<std::string, Key> m_byDispatch;
   std::map<steering::TargetSlot, std::uint32_t> m_inFlight;
   RetryBudget m_budget;
