--- a/src/wasabiloom/core/HostCore.h
+++ b/src/wasabiloom/core/HostCore.h
@@ -4,17 +4,14 @@
 #include "wasabiloom/core/Counters.h"
 #include "wasabiloom/core/Effects.h"
 #include "wasabiloom/core/Inputs.h"
-#include "wasabiloom/core/ServiceRuntime.h"
+#include "wasabiloom/core/PacketRouter.h"
+#include "wasabiloom/core/ServiceCatalog.h"
 #include "wasabiloom/core/Status.h"
 
 #include <cstddef>
-#include <map>
-#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <vector>
 
 namespace wasabiloom::core {
 
@@ -93,33 +90,11 @@
   void Send(base::HostId aTo, const peer::Message& aMessage) override;
   peer::SendBudget& Budget() override { return m_budget; }
 
-  PacketVerdict Handle(std::span<const std::byte> aPacket,
-                       base::HostId aRelayedFrom,
-                       base::Instant aNow);
-  PacketVerdict HandleConnection(ServiceRuntime& aService,
-                                 const packet::PacketView& aView,
-                                 base::HostId aRelayedFrom,
-                                 base::Instant aNow);
-  PacketVerdict HandleRequest(ServiceRuntime& aService,
-                              const packet::PacketView& aView,
-                              base::HostId aRelayedFrom,
-                              base::Instant aNow);
-  PacketVerdict Refuse(base::ResultCode aCode);
-  PacketVerdict RelayTo(base::HostId aHost);
-  ServiceRuntime* FindService(const packet::ServiceAddress& aAddress) const;
-  void LogPlacement(const ServiceRuntime& aService,
-                    const packet::PacketView& aView,
-                    const steering::SteerResult& aResult,
-                    std::string_view aTarget,
-                    bool aRelayed);
-
-  void Install(const bundle::Bundle& aBundle);
   void RequestNewerBundle(base::Instant aNow);
   void UpdatePhase(base::Instant aNow);
   void SetPhase(peer::HostPhase aPhase, base::Instant aNow);
   void NoticePause(base::Instant aNow);
   void OnWake(base::Instant aNow);
-  bool HasAllTables() const;
   peer::KnownVersions Versions() const;
 
   template<typename T>
@@ -143,11 +118,9 @@
   peer::SendBudget m_budget;
   peer::Membership m_membership;
   Counters m_counters;
-  bundle::Bundle m_bundle;
-  std::string m_signedBundle;
-  HostList m_list;
-  std::map<steering::ServiceId, std::unique_ptr<ServiceRuntime>> m_services;
-  std::unordered_map<std::uint64_t, ServiceRuntime*> m_byAddress;
+  ServiceCatalog m_catalog;
+  PacketRouter m_router;
+  std::uint64_t m_listRevision = 0;
   bool m_mustRevalidate = false;
   base::Instant m_tickedAt;
   base::Instant m_bundleAskedAt;
