--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -1,9 +1,8 @@
 #include "Fleet.h"
 
-#include "wasabiloom/wire/PeerCodec.h"
+#include "FleetHost.h"
 
 #include <algorithm>
-#include <array>
 #include <cstdio>
 #include <deque>
 
@@ -20,84 +19,11 @@
 constexpr base::Duration kMostConfigDelay = milliseconds(200);
 constexpr base::Duration kLeastCallerDelay = milliseconds(1);
 constexpr base::Duration kMostCallerDelay = milliseconds(3);
-constexpr std::size_t kUdpIpHeaderBytes = 28;
-constexpr std::chrono::seconds kControlWindow{ 10 };
-
-base::Duration
-Between(std::mt19937_64& aRandom, base::Duration aLeast, base::Duration aMost)
-{
-  std::uniform_int_distribution<base::Duration::rep> pick(aLeast.count(),
-                                                          aMost.count());
-  return base::Duration(pick(aRandom));
-}
-
-std::string
-MessageName(const peer::Message& aMessage)
-{
-  static const std::array<const char*, std::variant_size_v<peer::Message>>
-    sNames = { "heartbeat", "propose",      "contribute",     "commit",
-               "ack",       "notice",       "stray",          "sync_request",
-               "sync",      "load_reports", "bundle_request", "bundle_reply" };
-  return sNames.at(aMessage.index());
-}
 
 } // namespace
 
 FleetListener::~FleetListener() = default;
 
-/// One entry host: its process, its inbox and its accounts.
-class Fleet::Host final : public core::Effects
-{
-public:
-  Host(Fleet& aFleet, int aIndex)
-    : m_fleet(aFleet)
-    , m_index(aIndex)
-  {
-  }
-
-  void SendToBackend(const base::Endpoint& aTo,
-                     const request::Envelope& aEnvelope) override
-  {
-    m_fleet.m_listener->OnBackendDatagram(aTo, aEnvelope, m_index);
-  }
-  void SendToCaller(const packet::FlowKey& aFlow,
-                    const request::Envelope& aEnvelope) override
-  {
-    m_fleet.m_listener->OnCallerDatagram(aFlow, aEnvelope);
-  }
-  void LogRequest(const request::RequestDecision& /*aDecision*/) override {}
-  void SendPeer(const base::Endpoint& aTo,
-                const peer::Datagram& aDatagram) override
-  {
-    m_fleet.SendPeer(m_index, aTo, aDatagram);
-  }
-  void ProbeTarget(const steering::ServiceId& aService,
-                   const steering::TargetId& aTarget,
-                   const base::Endpoint& aStatus) override
-  {
-    m_fleet.m_listener->OnProbe(aService, aTarget, aStatus, m_index);
-  }
-  void LogFlow(const core::FlowDecision& /*aDecision*/) override {}
-  void LogEvent(const core::HostEvent& aEvent) override
-  {
-    if (m_fleet.m_traced >= 0) {
-      m_fleet.PrintTrace(HostName(m_index) + " " + std::string(aEvent.m_what) +
-                         " " + aEvent.m_detail);
-    }
-  }
-
-  Fleet& m_fleet;
-  int m_index;
-  std::unique_ptr<HostUnderTest> m_process;
-  std::uint64_t m_life = 0;
-  bool m_paused = false;
-  bool m_leaving = false;
-  base::Duration m_lag{ 0 };
-  std::deque<EventQueue::Action> m_inbox;
-  /// Bytes sent by window of time and kind of message.
-  std::map<std::int64_t, std::map<std::string, double>> m_controlBytes;
-};
-
 Fleet::Fleet(const Script& aScript,
              Policy aPolicy,
              const Site& aSite,
@@ -110,6 +36,7 @@
   , m_queue(aQueue)
   , m_measures(aMeasures)
   , m_random(aSeed)
+  , m_links(aScript.m_link, m_random)
 {
   for (int i = 0; i < aScript.m_hosts; ++i) {
     m_hosts.push_back(std::make_unique<Host>(*this, i));
@@ -184,12 +111,12 @@
     case core::PacketAction::Relay: {
       m_measures.Count("packets_relayed");
       const int to = HostAt(verdict.m_to.m_address);
-      if (to < 0 || IsCut(aHost, to) || IsLost()) {
+      if (!m_links.Carries(aHost, to)) {
         m_listener->OnLost(aPacket, "relay lost");
         break;
       }
       const base::HostId from = base::MakeHostId(HostName(aHost));
-      m_queue.After(LinkDelay(), [this, to, aPacket, from] {
+      m_queue.After(m_links.Delay(), [this, to, aPacket, from] {
         DeliverPacket(to, aPacket, from);
       });
       break;
@@ -230,8 +157,8 @@
                 const base::Endpoint& aTo,
                 const peer::Datagram& aDatagram)
 {
-  const auto bytes = wire::EncodePeer(aDatagram).size() + kUdpIpHeaderBytes;
-  CountControl(aFrom, MessageName(aDatagram.m_message), bytes);
+  m_hosts[static_cast<std::size_t>(aFrom)]->m_account.Add(aDatagram,
+                                                          m_queue.Now());
   const int to = HostAt(aTo.m_address);
   if (m_traced >= 0) {
     const bool beat =
@@ -249,10 +176,10 @@
                  MessageName(aDatagram.m_message));
     }
   }
-  if (to < 0 || IsCut(aFrom, to) || IsLost()) {
+  if (!m_links.Carries(aFrom, to)) {
     return;
   }
-  m_queue.After(LinkDelay(), [this, to, aDatagram] {
+  m_queue.After(m_links.Delay(), [this, to, aDatagram] {
     Run(to, [this, to, aDatagram] {
       m_hosts[static_cast<std::size_t>(to)]->m_process->OnPeer(aDatagram,
                                                                m_queue.Now());
@@ -275,37 +202,6 @@
   aAction();
 }
 
-void
-Fleet::CountControl(int aHost, const std::string& aKind, std::size_t aBytes)
-{
-  const auto window = m_queue.Now().time_since_epoch() / kControlWindow;
-  Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
-  host.m_controlBytes[window][aKind] += static_cast<double>(aBytes);
-}
-
-void
-Fleet::Cut(const std::set<int>& aLeft, const std::set<int>& aRight)
-{
-  for (const int left : aLeft) {
-    for (const int right : aRight) {
-      m_cut.insert({ left, right });
-      m_cut.insert({ right, left });
-    }
-  }
-}
-
-void
-Fleet::Heal()
-{
-  m_cut.clear();
-}
-
-bool
-Fleet::IsCut(int aFrom, int aTo) const
-{
-  return m_cut.contains({ aFrom, aTo });
-}
-
 int
 Fleet::HostAt(const base::Ipv4Address& aAddress) const
 {
@@ -317,23 +213,10 @@
   return -1;
 }
 
-base::Duration
-Fleet::LinkDelay()
-{
-  return Between(m_random, m_script.m_link.m_least, m_script.m_link.m_most);
-}
-
 base::Duration
 Fleet::CallerDelay()
 {
-  return Between(m_random, kLeastCallerDelay, kMostCallerDelay);
-}
-
-bool
-Fleet::IsLost()
-{
-  return std::uniform_real_distribution<double>(0, 1)(m_random) <
-         m_script.m_link.m_loss;
+  return RandomBetween(m_random, kLeastCallerDelay, kMostCallerDelay);
 }
 
 // --- platform ---------------------------------------------------------------
@@ -341,8 +224,9 @@
 void
 Fleet::DeliverBundle(int aHost)
 {
-  const auto delay = Between(m_random, kLeastConfigDelay, kMostConfigDelay) +
-                     m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
+  const auto delay =
+    RandomBetween(m_random, kLeastConfigDelay, kMostConfigDelay) +
+    m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
   const std::string bytes = m_site.SignedBundle();
   m_queue.After(delay, [this, aHost, bytes] {
     if (!m_platformUp) {
@@ -359,8 +243,9 @@
 void
 Fleet::DeliverList(int aHost)
 {
-  const auto delay = Between(m_random, kLeastConfigDelay, kMostConfigDelay) +
-                     m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
+  const auto delay =
+    RandomBetween(m_random, kLeastConfigDelay, kMostConfigDelay) +
+    m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
   const core::HostList list = m_site.List();
   m_queue.After(delay, [this, aHost, list] {
     if (!m_platformUp) {
@@ -515,26 +400,12 @@
 void
 Fleet::Summarize()
 {
-  constexpr double kSeconds = kControlWindow.count();
-  double peak = 0;
-  std::map<std::string, double> peakKinds;
+  std::vector<const ControlAccount*> accounts;
+  accounts.reserve(m_hosts.size());
   for (const auto& host : m_hosts) {
-    for (const auto& [window, kinds] : host->m_controlBytes) {
-      double sum = 0;
-      for (const auto& [kind, bytes] : kinds) {
-        sum += bytes;
-      }
-      m_measures.Count("control_bytes", sum);
-      if (sum > peak) {
-        peak = sum;
-        peakKinds = kinds;
-      }
-    }
-  }
-  m_measures.Set("control_bytes_per_second", peak / kSeconds);
-  for (const auto& [kind, bytes] : peakKinds) {
-    m_measures.Set("control_peak_" + kind, bytes / kSeconds);
+    accounts.push_back(&host->m_account);
   }
+  ControlAccount::Summarize(accounts, m_measures);
 }
 
 // --- trace ------------------------------------------------------------------
--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -4,6 +4,7 @@
 
 #include "EventQueue.h"
 #include "HostUnderTest.h"
+#include "Links.h"
 #include "Measures.h"
 #include "Site.h"
 
@@ -103,9 +104,8 @@
   void Pause(int aHost, base::Duration aLength);
   void SetLag(int aHost, base::Duration aLag);
 
-  /// Cuts every link between the two groups, in both directions.
-  void Cut(const std::set<int>& aLeft, const std::set<int>& aRight);
-  void Heal();
+  /// The links between the hosts.
+  Links& GetLinks() { return m_links; }
 
   /// Share of packets that the fabric delivers twice.
   void SetDuplication(double aShare) { m_duplication = aShare; }
@@ -136,13 +136,9 @@
                 const peer::Datagram& aDatagram);
   void Run(int aHost, const EventQueue::Action& aAction);
   void TickLater(int aHost);
-  void CountControl(int aHost, const std::string& aKind, std::size_t aBytes);
   void PrintTrace(const std::string& aText) const;
-  bool IsCut(int aFrom, int aTo) const;
   int HostAt(const base::Ipv4Address& aAddress) const;
-  base::Duration LinkDelay();
   base::Duration CallerDelay();
-  bool IsLost();
   void DeliverBundle(int aHost);
   void DeliverList(int aHost);
 
@@ -153,8 +149,8 @@
   Measures& m_measures;
   FleetListener* m_listener = nullptr;
   std::mt19937_64 m_random;
+  Links m_links;
   std::vector<std::unique_ptr<Host>> m_hosts;
-  std::set<std::pair<int, int>> m_cut;
   std::vector<int> m_fabric;
   bool m_platformUp = true;
   double m_duplication = 0;
--- a/scenario/Runner.cpp
+++ b/scenario/Runner.cpp
@@ -189,7 +189,7 @@
     for (int host = 0; host < m_fleet.Size(); ++host) {
       (m_fleet.ZoneOf(host) == aZone ? inside : outside).insert(host);
     }
-    m_fleet.Cut(inside, outside);
+    m_fleet.GetLinks().Cut(inside, outside);
   }
 
   void CutHosts(const Words& aWords)
@@ -203,7 +203,7 @@
       inside.insert(HostOf(aWords[i]));
       outside.erase(HostOf(aWords[i]));
     }
-    m_fleet.Cut(inside, outside);
+    m_fleet.GetLinks().Cut(inside, outside);
   }
 
   using Verb = std::function<void(const Words&)>;
@@ -262,7 +262,7 @@
       constexpr double kPercent = 100;
       m_fleet.SetDuplication(std::stod(aWords.at(1)) / kPercent);
     };
-    m_verbs["heal"] = [this](const Words&) { m_fleet.Heal(); };
+    m_verbs["heal"] = [this](const Words&) { m_fleet.GetLinks().Heal(); };
     m_verbs["platform"] = [this](const Words& aWords) {
       m_fleet.SetPlatformUp(aWords.at(1) == "up");
     };
