--- a/src/wasabiloom/daemon/Log.cpp
+++ b/src/wasabiloom/daemon/Log.cpp
@@ -1,5 +1,7 @@
 #include "wasabiloom/daemon/Log.h"
 
+#include "wasabiloom/base/Hex.h"
+
 #include <log4cxx/appender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -39,19 +41,6 @@
   return sLogger;
 }
 
-std::string
-Hex(const std::string& aBytes)
-{
-  static const char* const sDigits = "0123456789abcdef";
-  std::string text;
-  for (const char byte : aBytes) {
-    const auto value = static_cast<unsigned char>(byte);
-    text += sDigits[value >> 4];
-    text += sDigits[value & 0x0f];
-  }
-  return text;
-}
-
 } // namespace
 
 void
@@ -121,7 +110,7 @@
   }
   std::ostringstream line;
   line << "event=request service=" << aDecision.m_service
-       << " id=" << Hex(aDecision.m_id)
+       << " id=" << base::ToHex(aDecision.m_id)
        << " target=" << (aDecision.m_target.empty() ? "-" : aDecision.m_target)
        << " reason=" << aDecision.m_reason
        << " code=" << static_cast<int>(aDecision.m_code);
--- a/src/wasabiloom/steering/ShardFollower.cpp
+++ b/src/wasabiloom/steering/ShardFollower.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-/// Estimate for the budget.
-constexpr std::size_t kFlowBytes = 5;
-
 constexpr base::Duration kAskInterval = std::chrono::milliseconds(200);
 constexpr base::Duration kWindowPatience = std::chrono::seconds(2);
 constexpr base::Duration kStuckAskInterval = std::chrono::seconds(10);
--- a/src/wasabiloom/steering/ShardOwner.cpp
+++ b/src/wasabiloom/steering/ShardOwner.cpp
@@ -8,18 +8,6 @@
 
 constexpr base::Duration kResendInterval = std::chrono::milliseconds(200);
 
-/// How long after a departure the flows of the departed host may stay silent
-/// without being lost.
-constexpr base::Duration kDepartureMemory = std::chrono::seconds(60);
-
-/// Moves that only improve the balance are spread over time, so that control
-/// traffic stays small and a returning backend server fills gradually.
-constexpr base::Duration kPacedInterval = std::chrono::seconds(2);
-
-/// Estimates for the budget: a message without flows, and one flow.
-constexpr std::size_t kMessageBytes = 90;
-constexpr std::size_t kFlowBytes = 5;
-
 } // namespace
 
 ShardOwner::ShardOwner(ShardState& aState,
@@ -28,6 +16,7 @@
   : m_state(aState)
   , m_view(aView)
   , m_outbox(aOutbox)
+  , m_planner(aState, aView, aOutbox)
 {
 }
 
@@ -73,76 +62,22 @@
   if (m_state.m_window && !orphaned) {
     return;
   }
-  const bool delayed = m_planAt != base::Instant{} && aNow >= m_planAt;
-  if (!orphaned && !m_planDue && !delayed) {
+  const bool due = m_planner.TakeDue(aNow);
+  if (!orphaned && !due) {
     return;
   }
-  m_planDue = false;
-  m_planAt = {};
   auto moves = MovesDue(orphaned, aNow);
   if (!moves.empty()) {
     Start(std::move(moves), orphaned, aNow);
   }
 }
 
-/// Whether the row's default takes no new flows.
-bool
-ShardOwner::IsUrgent(const ShardTable& aTable, const SlotMove& aMove) const
-{
-  const TargetSlot current = aTable.RowTarget(aMove.m_row);
-  return current == kNoSlot || !m_state.Directory().At(current).m_takesNew;
-}
-
-RowLoads
-ShardOwner::CountFlows() const
-{
-  RowLoads loads{};
-  m_state.m_flows.ForEach(
-    [&](const FlowTable::Entry& aEntry) { ++loads.at(aEntry.m_row); });
-  return loads;
-}
-
-/// All urgent moves, and as many of the others as time and budget allow.
-std::vector<SlotMove>
-ShardOwner::Pace(const std::vector<SlotMove>& aMoves,
-                 const RowLoads& aLoads,
-                 base::Instant aNow)
-{
-  const bool mayBalance =
-    aNow - m_pacedAt >= kPacedInterval && !HasRecentDeparture(aNow);
-  const std::size_t allowed = mayBalance ? m_outbox.Budget().Spare() : 0;
-  std::vector<SlotMove> due;
-  std::size_t flows = 0;
-  for (const SlotMove& move : aMoves) {
-    if (IsUrgent(m_state.m_table, move)) {
-      due.push_back(move);
-    } else if (CostOf(flows) < allowed) {
-      due.push_back(move);
-      flows += aLoads.at(move.m_row);
-      m_pacedAt = aNow;
-    } else {
-      m_planAt = aNow + kPacedInterval;
-    }
-  }
-  return due;
-}
-
-/// Bytes of telling every peer of `aFlows` flows.
-std::size_t
-ShardOwner::CostOf(std::size_t aFlows) const
-{
-  return m_view.LivePeers().size() * (kMessageBytes + aFlows * kFlowBytes);
-}
-
 /// Planned moves, and rows that stay as they are but must be closed: those of
 /// a lost owner's window, and those of flows that were missed before.
 std::vector<SlotMove>
 ShardOwner::MovesDue(bool aTakeover, base::Instant aNow)
 {
-  const RowLoads loads = CountFlows();
-  const auto planned =
-    PlanMoves(m_state.Key(), m_state.m_table, m_state.Directory(), loads);
-  auto moves = Pace(planned, loads, aNow);
+  auto moves = m_planner.DueMoves(aNow);
   RowSet closed;
   for (const SlotMove& move : moves) {
     closed.set(move.m_row);
@@ -168,7 +103,7 @@
 ShardOwner::AddStrays(const std::vector<PinnedFlow>& aFlows)
 {
   m_strays.insert(m_strays.end(), aFlows.begin(), aFlows.end());
-  m_planDue = true;
+  m_planner.Request();
 }
 
 TableVersion
@@ -218,7 +153,7 @@
   m_state.m_window = std::move(window);
   m_progress = std::move(progress);
   AwaitAll();
-  m_outbox.Budget().Spend(CostOf(m_progress->m_proposed.size()));
+  m_outbox.Budget().Spend(m_planner.CostOf(m_progress->m_proposed.size()));
   SendToAwaited(aNow);
   Advance(aNow);
 }
@@ -271,7 +206,7 @@
     return;
   }
   m_progress.reset();
-  m_planDue = true;
+  m_planner.Request();
 }
 
 void
@@ -287,33 +222,11 @@
 bool
 ShardOwner::MayCommit(base::Instant aNow)
 {
-  if (!HasRecentDeparture(aNow) && m_outbox.Budget().Available() > 0) {
+  if (!m_planner.HasRecentDeparture(aNow) &&
+      m_outbox.Budget().Available() > 0) {
     return true;
   }
-  return IsUrgentPlanDue();
-}
-
-bool
-ShardOwner::HasRecentDeparture(base::Instant aNow) const
-{
-  const base::Instant departure = m_view.LastDeparture();
-  return departure != base::Instant{} && aNow - departure < kDepartureMemory;
-}
-
-bool
-ShardOwner::IsUrgentPlanDue()
-{
-  if (!m_planDue) {
-    return false;
-  }
-  m_planDue = false;
-  ShardTable moved = m_state.m_table;
-  for (const SlotMove& move : m_state.m_window->m_moves) {
-    moved.SetRow(move.m_row, move.m_slot);
-  }
-  const auto next = PlanMoves(m_state.Key(), moved, m_state.Directory());
-  return std::ranges::any_of(
-    next, [&](const SlotMove& aMove) { return IsUrgent(moved, aMove); });
+  return m_planner.TakeUrgentAfterWindow();
 }
 
 void
@@ -328,7 +241,7 @@
   }
   m_state.ApplyWindow(aNow);
   m_progress->m_stage = Stage::Committing;
-  m_outbox.Budget().Spend(CostOf(m_progress->m_additions.size()));
+  m_outbox.Budget().Spend(m_planner.CostOf(m_progress->m_additions.size()));
   AwaitAll();
   SendToAwaited(aNow);
   Advance(aNow);
@@ -404,7 +317,7 @@
     m_state.m_window.reset();
   }
   m_progress.reset();
-  m_planDue = true;
+  m_planner.Request();
 }
 
 void
--- a/src/wasabiloom/steering/ShardOwner.h
+++ b/src/wasabiloom/steering/ShardOwner.h
@@ -3,6 +3,7 @@
 
 #include "wasabiloom/peer/HostView.h"
 #include "wasabiloom/peer/Outbox.h"
+#include "wasabiloom/steering/MovePlanner.h"
 #include "wasabiloom/steering/ShardState.h"
 
 #include <map>
@@ -44,7 +45,7 @@
   void AddStrays(const std::vector<PinnedFlow>& aFlows);
 
   /// Makes the next Tick plan anew.
-  void RequestPlan() { m_planDue = true; }
+  void RequestPlan() { m_planner.Request(); }
 
   /// Whether a change of this host has switched and is being committed in
   /// `aRow`.
@@ -79,19 +80,11 @@
 
   void CreateFirstTable(std::uint64_t aBundleVersion);
   void StartIfDue(base::Instant aNow);
-  bool IsUrgent(const ShardTable& aTable, const SlotMove& aMove) const;
-  RowLoads CountFlows() const;
-  std::vector<SlotMove> Pace(const std::vector<SlotMove>& aMoves,
-                             const RowLoads& aLoads,
-                             base::Instant aNow);
   std::vector<SlotMove> MovesDue(bool aTakeover, base::Instant aNow);
   void Start(std::vector<SlotMove> aMoves, bool aTakeover, base::Instant aNow);
   void Advance(base::Instant aNow);
   void Switch(base::Instant aNow);
   bool MayCommit(base::Instant aNow);
-  bool HasRecentDeparture(base::Instant aNow) const;
-  bool IsUrgentPlanDue();
-  std::size_t CostOf(std::size_t aFlows) const;
   peer::Commit CommitFor(base::HostId aHost) const;
   void SendCommit(base::Instant aNow);
   void AwaitAll();
@@ -102,13 +95,10 @@
   ShardState& m_state;
   const peer::HostView& m_view;
   peer::Outbox& m_outbox;
+  MovePlanner m_planner;
   std::optional<Progress> m_progress;
   TableVersion m_highest;
   std::vector<PinnedFlow> m_strays;
-  bool m_planDue = true;
-  /// When moves put off for later are due; zero when none are.
-  base::Instant m_planAt;
-  base::Instant m_pacedAt;
 };
 
 } // namespace wasabiloom::steering
--- a/src/wasabiloom/steering/ShardState.h
+++ b/src/wasabiloom/steering/ShardState.h
@@ -13,6 +13,9 @@
 /// Flows not seen for this long are forgotten.
 constexpr base::Duration kFlowIdleLimit = std::chrono::minutes(30);
 
+/// Bytes that telling one flow takes, for the budget.
+constexpr std::size_t kFlowBytes = 5;
+
 /// Rows on their way to a new default target. While a window is open, every
 /// host but its owner relays the packets of flows it does not know.
 struct Window
--- a/standins/Caller.cpp
+++ b/standins/Caller.cpp
@@ -3,6 +3,7 @@
 
 #include "Support.h"
 
+#include "wasabiloom/base/Hex.h"
 #include "wasabiloom/daemon/SignalWatch.h"
 #include "wasabiloom/packet/IpWriter.h"
 #include "wasabiloom/wire/EnvelopeCodec.h"
@@ -239,16 +240,6 @@
     return id;
   }
 
-  static std::string Hex(const std::string& aBytes)
-  {
-    std::ostringstream text;
-    for (const char byte : aBytes) {
-      const int value = static_cast<unsigned char>(byte);
-      text << std::hex << (value >> 4) << (value & 0x0f);
-    }
-    return text.str();
-  }
-
   void Ask(const Stream& aStream, Milliseconds aNow)
   {
     Pending pending;
@@ -256,7 +247,7 @@
     pending.m_envelope.m_repeatable = aStream.m_repeatable;
     pending.m_envelope.m_body =
       (aStream.m_repeatable ? "repeatable-" : "once-") +
-      Hex(pending.m_envelope.m_id);
+      base::ToHex(pending.m_envelope.m_id);
     pending.m_service = aStream.m_service;
     pending.m_since = aNow;
     ++m_totals.m_asked;
--- a/standins/Fabric.cpp
+++ b/standins/Fabric.cpp
@@ -12,7 +12,6 @@
 
 #include <iostream>
 #include <random>
-#include <sstream>
 #include <stdexcept>
 #include <vector>
 
@@ -50,17 +49,12 @@
 
   void LoadHosts(const std::string& aPath)
   {
-    std::istringstream lines(standins::ReadFileOrThrow(aPath));
     std::vector<Endpoint> hosts;
-    std::string kind;
-    std::string name;
-    std::string zone;
-    std::string address;
-    std::string state;
-    while (lines >> kind >> name >> zone >> address >> state) {
-      const auto parsed = wasabiloom::base::ParseIpv4(address);
-      if (kind == "host" && state == "live" && parsed) {
-        hosts.push_back({ *parsed, m_port });
+    const std::string text = standins::ReadFileOrThrow(aPath);
+    for (const standins::HostLine& line : standins::ParseHostLines(text)) {
+      const auto address = wasabiloom::base::ParseIpv4(line.m_address);
+      if (!line.m_isBackend && !line.m_leaving && address) {
+        hosts.push_back({ *address, m_port });
       }
     }
     m_hosts = hosts;
--- a/standins/HostList.cpp
+++ b/standins/HostList.cpp
@@ -15,7 +15,6 @@
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
-#include <sstream>
 #include <stdexcept>
 
 namespace {
@@ -71,20 +70,14 @@
   static platform::HostListValue Parse(const std::string& aText)
   {
     platform::HostListValue value;
-    std::istringstream lines(aText);
-    std::string kind;
-    std::string name;
-    std::string zone;
-    std::string address;
-    std::string state;
-    while (lines >> kind >> name >> zone >> address >> state) {
+    for (const standins::HostLine& line : standins::ParseHostLines(aText)) {
       platform::HostEntry* entry = value.add_hosts();
-      entry->set_kind(kind == "backend" ? platform::HostEntry::BACKEND_SERVER
-                                        : platform::HostEntry::ENTRY_HOST);
-      entry->set_name(name);
-      entry->set_zone(zone);
-      entry->set_address(address);
-      entry->set_leaving(state == "leaving");
+      entry->set_kind(line.m_isBackend ? platform::HostEntry::BACKEND_SERVER
+                                       : platform::HostEntry::ENTRY_HOST);
+      entry->set_name(line.m_name);
+      entry->set_zone(line.m_zone);
+      entry->set_address(line.m_address);
+      entry->set_leaving(line.m_leaving);
     }
     return value;
   }
--- a/standins/Support.cpp
+++ b/standins/Support.cpp
@@ -3,6 +3,7 @@
 #include "wasabiloom/base/Files.h"
 
 #include <iostream>
+#include <sstream>
 #include <stdexcept>
 
 namespace standins {
@@ -77,6 +78,23 @@
     [&] { return wasabiloom::base::WriteFile(aPath, aContent); }, Throw<void>);
 }
 
+std::vector<HostLine>
+ParseHostLines(const std::string& aText)
+{
+  std::istringstream words(aText);
+  std::vector<HostLine> lines;
+  HostLine line;
+  std::string kind;
+  std::string state;
+  while (words >> kind >> line.m_name >> line.m_zone >> line.m_address >>
+         state) {
+    line.m_isBackend = kind == "backend";
+    line.m_leaving = state == "leaving";
+    lines.push_back(line);
+  }
+  return lines;
+}
+
 std::span<const std::byte>
 AsBytes(std::string_view aText)
 {
--- a/standins/Support.h
+++ b/standins/Support.h
@@ -12,6 +12,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace standins {
 
@@ -46,6 +47,20 @@
 void
 WriteFileOrThrow(const std::string& aPath, const std::string& aContent);
 
+/// One line of the host list file.
+struct HostLine
+{
+  bool m_isBackend = false;
+  std::string m_name;
+  std::string m_zone;
+  std::string m_address;
+  bool m_leaving = false;
+};
+
+/// Lines `host|backend NAME ZONE ADDRESS live|leaving` of a text.
+std::vector<HostLine>
+ParseHostLines(const std::string& aText);
+
 /// Bytes of a text.
 std::span<const std::byte>
 AsBytes(std::string_view aText);
