Joiners learn of departures from their peers

Supposing a departure at every join made a whole fleet that starts together linger for 60 s: the demo's drain did not end in 10 s.

--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -45,8 +45,6 @@
 
 Fleet::~Fleet() = default;
 
-// --- packets ----------------------------------------------------------------
-
 void
 Fleet::Spray(const TravellingPacket& aPacket)
 {
@@ -150,8 +148,6 @@
   });
 }
 
-// --- links ------------------------------------------------------------------
-
 void
 Fleet::SendPeer(int aFrom,
                 const base::Endpoint& aTo,
@@ -219,42 +215,36 @@
   return RandomBetween(m_random, kLeastCallerDelay, kMostCallerDelay);
 }
 
-// --- platform ---------------------------------------------------------------
-
+/// Runs `aAction` on a host once the platform has reached it.
 void
-Fleet::DeliverBundle(int aHost)
+Fleet::DeliverLater(int aHost, const EventQueue::Action& aAction)
 {
+  const auto lag = m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
   const auto delay =
-    RandomBetween(m_random, kLeastConfigDelay, kMostConfigDelay) +
-    m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
-  const std::string bytes = m_site.SignedBundle();
-  m_queue.After(delay, [this, aHost, bytes] {
-    if (!m_platformUp) {
-      return;
+    RandomBetween(m_random, kLeastConfigDelay, kMostConfigDelay);
+  m_queue.After(delay + lag, [this, aHost, aAction] {
+    if (m_platformUp) {
+      Run(aHost, aAction);
     }
-    m_measures.Count("config_reads");
-    Run(aHost, [this, aHost, bytes] {
-      m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnBundle(
-        bytes, m_queue.Now());
-    });
+  });
+}
+
+void
+Fleet::DeliverBundle(int aHost)
+{
+  m_measures.Count("config_reads");
+  DeliverLater(aHost, [this, aHost, bytes = m_site.SignedBundle()] {
+    m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnBundle(
+      bytes, m_queue.Now());
   });
 }
 
 void
 Fleet::DeliverList(int aHost)
 {
-  const auto delay =
-    RandomBetween(m_random, kLeastConfigDelay, kMostConfigDelay) +
-    m_hosts[static_cast<std::size_t>(aHost)]->m_lag;
-  const core::HostList list = m_site.List();
-  m_queue.After(delay, [this, aHost, list] {
-    if (!m_platformUp) {
-      return;
-    }
-    Run(aHost, [this, aHost, list] {
-      m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnHostList(
-        list, m_queue.Now());
-    });
+  DeliverLater(aHost, [this, aHost, list = m_site.List()] {
+    m_hosts[static_cast<std::size_t>(aHost)]->m_process->OnHostList(
+      list, m_queue.Now());
   });
 }
 
@@ -284,8 +274,6 @@
   }
 }
 
-// --- lives ------------------------------------------------------------------
-
 void
 Fleet::Start(int aHost)
 {
@@ -408,8 +396,6 @@
   ControlAccount::Summarize(accounts, m_measures);
 }
 
-// --- trace ------------------------------------------------------------------
-
 void
 Fleet::Trace(std::int64_t aFlow, const steering::ShardKey& aShard)
 {
--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -139,6 +139,7 @@
   void PrintTrace(const std::string& aText) const;
   int HostAt(const base::Ipv4Address& aAddress) const;
   base::Duration CallerDelay();
+  void DeliverLater(int aHost, const EventQueue::Action& aAction);
   void DeliverBundle(int aHost);
   void DeliverList(int aHost);
 
--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -54,8 +54,6 @@
 
 HostCore::~HostCore() = default;
 
-// --- packets ----------------------------------------------------------------
-
 PacketVerdict
 HostCore::OnPacket(std::span<const std::byte> aPacket, base::Instant aNow)
 {
@@ -78,8 +76,6 @@
   m_router.Prefetch(aPacket);
 }
 
-// --- bundle and host list ---------------------------------------------------
-
 base::Result<void>
 HostCore::OnBundle(std::string_view aSigned, base::Instant aNow)
 {
@@ -106,8 +102,6 @@
                        "revision=" + std::to_string(m_listRevision) });
 }
 
-// --- peers ------------------------------------------------------------------
-
 void
 HostCore::Send(base::HostId aTo, const peer::Message& aMessage)
 {
@@ -234,8 +228,6 @@
   }
 }
 
-// --- time and phases --------------------------------------------------------
-
 void
 HostCore::OnTick(base::Instant aNow)
 {
@@ -294,9 +286,6 @@
     }
   }
   if (m_catalog.IsComplete() && m_membership.IsHeardByAll()) {
-    if (m_membership.HasReadyPeer()) {
-      m_membership.AssumeDeparture(aNow);
-    }
     SetPhase(HostPhase::Ready, aNow);
   }
 }
@@ -357,8 +346,6 @@
   return m_membership.Phase() == HostPhase::Ready;
 }
 
-// --- operators --------------------------------------------------------------
-
 HostStatus
 HostCore::Status() const
 {
--- a/src/wasabiloom/peer/HostView.h
+++ b/src/wasabiloom/peer/HostView.h
@@ -10,6 +10,10 @@
 
 namespace wasabiloom::peer {
 
+/// How long after a departure the flows of the departed host may stay silent
+/// without being lost.
+constexpr base::Duration kDepartureMemory = std::chrono::seconds(60);
+
 /// This host's opinion of its peers. One thread at a time.
 class HostView
 {
@@ -50,6 +54,9 @@
   /// seen are known to nobody since.
   virtual base::Instant LastDeparture() const = 0;
 
+  /// Whether the last departure is no older than kDepartureMemory.
+  bool HasRecentDeparture(base::Instant aNow) const;
+
   /// Rises whenever any of the other answers may have changed.
   virtual std::uint64_t Generation() const = 0;
 };
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -171,6 +171,9 @@
   Peer& peer = m_peers.at(aFrom);
   peer.m_bundleVersion = aHeartbeat.m_bundleVersion;
   peer.m_hearsMe = aHeartbeat.m_hearsReceiver;
+  if (m_phase == HostPhase::Joining && aHeartbeat.m_recentDeparture) {
+    m_lastDeparture = peer.m_heardAt;
+  }
   if (peer.m_phase == aHeartbeat.m_phase) {
     return;
   }
@@ -215,6 +218,7 @@
   heartbeat.m_phase = m_phase;
   heartbeat.m_bundleVersion = aVersions.m_bundle;
   heartbeat.m_listRevision = aVersions.m_list;
+  heartbeat.m_recentDeparture = HasRecentDeparture(aNow);
   for (auto& [host, peer] : m_peers) {
     heartbeat.m_hearsReceiver = peer.m_live;
     const bool silent = aNow - peer.m_sentAt >= kHeartbeatInterval;
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -86,10 +86,6 @@
   /// Treats every peer as unheard, after a pause of this process.
   void ForgetAll(base::Instant aNow);
 
-  /// Supposes that a peer has just departed: a host that joins a running
-  /// fleet has not seen who left before.
-  void AssumeDeparture(base::Instant aNow) { m_lastDeparture = aNow; }
-
   /// Whether every live ready peer hears this host.
   bool IsHeardByAll() const;
 
--- a/src/wasabiloom/peer/Messages.h
+++ b/src/wasabiloom/peer/Messages.h
@@ -31,6 +31,9 @@
   std::uint64_t m_listRevision = 0;
   /// Whether the sender has heard the receiver lately.
   bool m_hearsReceiver = false;
+  /// Whether the sender has seen a host depart lately: a joining receiver has
+  /// not seen it.
+  bool m_recentDeparture = false;
 
   friend auto operator<=>(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/src/wasabiloom/request/RequestHome.cpp
+++ b/src/wasabiloom/request/RequestHome.cpp
@@ -168,7 +168,7 @@
   aRecord.m_dispatch = NewDispatchId();
   aRecord.m_mayHaveRun = true;
   ++aRecord.m_attempts;
-  ++m_inFlight[aSlot];
+  m_slots.Take(aSlot);
   m_byDispatch[aRecord.m_dispatch] = aKey;
   const auto left = aRecord.m_deadline - aNow;
   const bool maySpare = aRecord.m_request.m_repeatable;
@@ -184,29 +184,8 @@
 steering::TargetSlot
 RequestHome::PickTarget(const Record& aRecord) const
 {
-  steering::TargetSlot best = steering::kNoSlot;
-  std::uint32_t bestLoad = 0;
-  std::uint64_t bestTie = 0;
   const std::uint64_t seed = base::HashText(aRecord.m_request.m_id);
-  for (std::size_t i = 0; i < m_directory.Size(); ++i) {
-    const auto slot = static_cast<steering::TargetSlot>(i);
-    const steering::TargetInfo& target = m_directory.At(slot);
-    const auto found = m_inFlight.find(slot);
-    const std::uint32_t load = found == m_inFlight.end() ? 0 : found->second;
-    if (!target.m_takesNew || load >= target.m_slots ||
-        aRecord.m_refusedBy.contains(slot)) {
-      continue;
-    }
-    const std::uint64_t tie = base::Combine(seed, target.m_id.m_value);
-    const bool better = best == steering::kNoSlot || load < bestLoad ||
-                        (load == bestLoad && tie > bestTie);
-    if (better) {
-      best = slot;
-      bestLoad = load;
-      bestTie = tie;
-    }
-  }
-  return best;
+  return m_slots.Pick(m_directory, aRecord.m_refusedBy, seed);
 }
 
 std::string
@@ -381,7 +360,7 @@
   }
   m_byDispatch.erase(aRecord.m_dispatch);
   aRecord.m_dispatch.clear();
-  --m_inFlight[aRecord.m_slot];
+  m_slots.Release(aRecord.m_slot);
 }
 
 void
--- a/src/wasabiloom/request/RequestHome.h
+++ b/src/wasabiloom/request/RequestHome.h
@@ -4,6 +4,7 @@
 #include "wasabiloom/base/Time.h"
 #include "wasabiloom/request/RequestSink.h"
 #include "wasabiloom/request/RetryBudget.h"
+#include "wasabiloom/request/SlotAccount.h"
 #include "wasabiloom/steering/TargetDirectory.h"
 
 #include <cstdint>
@@ -113,7 +114,7 @@
   /// Requests without a backend server, oldest first.
   std::deque<Key> m_waiting;
   std::map<std::string, Key> m_byDispatch;
-  std::map<steering::TargetSlot, std::uint32_t> m_inFlight;
+  SlotAccount m_slots;
   RetryBudget m_budget;
   std::uint64_t m_serial = 0;
 };
--- a/src/wasabiloom/steering/MovePlanner.cpp
+++ b/src/wasabiloom/steering/MovePlanner.cpp
@@ -56,7 +56,7 @@
 {
   const RowLoads loads = CountFlows();
   const bool mayBalance =
-    aNow - m_pacedAt >= kPacedInterval && !HasRecentDeparture(aNow);
+    aNow - m_pacedAt >= kPacedInterval && !m_view.HasRecentDeparture(aNow);
   const std::size_t allowed = mayBalance ? m_outbox.Budget().Spare() : 0;
   std::vector<SlotMove> due;
   std::size_t flows = 0;
@@ -91,13 +91,6 @@
     next, [&](const SlotMove& aMove) { return IsUrgent(moved, aMove); });
 }
 
-bool
-MovePlanner::HasRecentDeparture(base::Instant aNow) const
-{
-  const base::Instant departure = m_view.LastDeparture();
-  return departure != base::Instant{} && aNow - departure < kDepartureMemory;
-}
-
 std::size_t
 MovePlanner::CostOf(std::size_t aFlows) const
 {
--- a/src/wasabiloom/steering/MovePlanner.h
+++ b/src/wasabiloom/steering/MovePlanner.h
@@ -9,10 +9,6 @@
 
 namespace wasabiloom::steering {
 
-/// How long after a departure the flows of the departed host may stay silent
-/// without being lost.
-constexpr base::Duration kDepartureMemory = std::chrono::seconds(60);
-
 /// Tells urgent moves from those that only improve the balance, and spreads
 /// the latter over time, so that control traffic stays small and a returning
 /// backend server fills gradually. One thread at a time.
@@ -38,9 +34,6 @@
   /// be due. Uses a request up. Precondition: a window is open.
   bool TakeUrgentAfterWindow();
 
-  /// Whether a peer departed so lately that its flows may still show up.
-  bool HasRecentDeparture(base::Instant aNow) const;
-
   /// Bytes of telling every peer of `aFlows` flows.
   std::size_t CostOf(std::size_t aFlows) const;
 
--- a/src/wasabiloom/steering/ShardOwner.cpp
+++ b/src/wasabiloom/steering/ShardOwner.cpp
@@ -222,8 +222,7 @@
 bool
 ShardOwner::MayCommit(base::Instant aNow)
 {
-  if (!m_planner.HasRecentDeparture(aNow) &&
-      m_outbox.Budget().Available() > 0) {
+  if (!m_view.HasRecentDeparture(aNow) && m_outbox.Budget().Available() > 0) {
     return true;
   }
   return m_planner.TakeUrgentAfterWindow();
