--- a/standins/ConfigService.cpp
+++ b/standins/ConfigService.cpp
@@ -3,6 +3,7 @@
 /// misbehave: `stale` freezes the answers, `down` refuses every call, `slow
 /// MS` delays them; an empty or missing file means none.
 
+#include "PlatformServer.h"
 #include "Support.h"
 
 #include "wasabiloom/daemon/SignalWatch.h"
@@ -10,7 +11,6 @@
 #include "generated/platform.grpc.pb.h"
 
 #include <QCoreApplication>
-#include <QTimer>
 #include <grpcpp/grpcpp.h>
 
 #include <chrono>
@@ -31,7 +31,6 @@
 using std::chrono::steady_clock;
 
 constexpr std::size_t kMaxValueBytes = 1'000'000;
-constexpr int kPollMs = 50;
 constexpr milliseconds kWaitStep{ 100 };
 
 struct Value
@@ -233,20 +232,11 @@
   store.Poll();
   RateLimit limit(chosen.Number("rate"));
   Service service(store, limit);
-  grpc::ServerBuilder builder;
-  builder.AddListeningPort(chosen.Text("listen"),
-                           grpc::InsecureServerCredentials());
-  builder.RegisterService(&service);
-  const auto server = builder.BuildAndStart();
-  if (!server) {
-    throw std::runtime_error("cannot listen on " + chosen.Text("listen"));
-  }
-  QTimer poll;
-  QObject::connect(&poll, &QTimer::timeout, [&] { store.Poll(); });
-  poll.start(kPollMs);
-  QCoreApplication::exec();
-  store.Stop();
-  server->Shutdown(std::chrono::system_clock::now());
+  standins::ServeUntilStopped(
+    chosen.Text("listen"),
+    service,
+    [&] { store.Poll(); },
+    [&] { store.Stop(); });
   std::cout << "config_service calls=" << limit.Total() << "\n";
   return 0;
 }
--- a/standins/HostList.cpp
+++ b/standins/HostList.cpp
@@ -2,6 +2,7 @@
 /// `host|backend NAME ZONE ADDRESS live|leaving`; every change of the file is
 /// a new revision.
 
+#include "PlatformServer.h"
 #include "Support.h"
 
 #include "wasabiloom/daemon/SignalWatch.h"
@@ -9,13 +10,11 @@
 #include "generated/platform.grpc.pb.h"
 
 #include <QCoreApplication>
-#include <QTimer>
 #include <grpcpp/grpcpp.h>
 
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
-#include <stdexcept>
 
 namespace {
 
@@ -25,8 +24,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr int kPollMs = 50;
-
 /// The list, shared by the server's threads and the poll timer.
 class Store
 {
@@ -128,20 +125,11 @@
   Store store(chosen.Text("file"));
   store.Poll();
   Service service(store);
-  grpc::ServerBuilder builder;
-  builder.AddListeningPort(chosen.Text("listen"),
-                           grpc::InsecureServerCredentials());
-  builder.RegisterService(&service);
-  const auto server = builder.BuildAndStart();
-  if (!server) {
-    throw std::runtime_error("cannot listen on " + chosen.Text("listen"));
-  }
-  QTimer poll;
-  QObject::connect(&poll, &QTimer::timeout, [&] { store.Poll(); });
-  poll.start(kPollMs);
-  QCoreApplication::exec();
-  store.Stop();
-  server->Shutdown(std::chrono::system_clock::now());
+  standins::ServeUntilStopped(
+    chosen.Text("listen"),
+    service,
+    [&] { store.Poll(); },
+    [&] { store.Stop(); });
   return 0;
 }
 
