--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -3,7 +3,6 @@
 #include "FleetHost.h"
 
 #include <algorithm>
-#include <cstdio>
 #include <deque>
 
 namespace wasabiloom::scenario {
@@ -95,12 +94,13 @@
       ? host.m_process->OnPacket(*aPacket.m_bytes, now)
       : host.m_process->OnRelayedPacket(*aPacket.m_bytes, aFrom, now);
   m_measures.Count("packets");
-  if (m_traced >= 0 && aPacket.m_tag / kTagKinds == m_traced) {
-    PrintTrace(HostName(aHost) + " packet kind " +
-               std::to_string(aPacket.m_tag % kTagKinds) + " action " +
-               std::to_string(static_cast<int>(verdict.m_action)) + " to " +
-               ToString(verdict.m_to) + " code " +
-               std::to_string(static_cast<int>(verdict.m_code)));
+  if (m_trace.Follows(aPacket.m_tag / kTagKinds)) {
+    m_trace.Print(HostName(aHost) + " packet kind " +
+                    std::to_string(aPacket.m_tag % kTagKinds) + " action " +
+                    std::to_string(static_cast<int>(verdict.m_action)) +
+                    " to " + ToString(verdict.m_to) + " code " +
+                    std::to_string(static_cast<int>(verdict.m_code)),
+                  now);
   }
   switch (verdict.m_action) {
     case core::PacketAction::Forward:
@@ -156,21 +156,9 @@
   m_hosts[static_cast<std::size_t>(aFrom)]->m_account.Add(aDatagram,
                                                           m_queue.Now());
   const int to = HostAt(aTo.m_address);
-  if (m_traced >= 0) {
-    const bool beat =
-      std::holds_alternative<peer::Heartbeat>(aDatagram.m_message);
-    const bool concerned = std::visit(
-      [&](const auto& aMessage) {
-        if constexpr (requires { aMessage.m_shard; }) {
-          return aMessage.m_shard == m_tracedShard;
-        }
-        return false;
-      },
-      aDatagram.m_message);
-    if (!beat && concerned) {
-      PrintTrace(HostName(aFrom) + " -> " + HostName(to) + " " +
-                 MessageName(aDatagram.m_message));
-    }
+  if (m_trace.IsStarted()) {
+    m_trace.PrintMessage(
+      HostName(aFrom), HostName(to), aDatagram.m_message, m_queue.Now());
   }
   if (!m_links.Carries(aFrom, to)) {
     return;
@@ -396,21 +384,4 @@
   ControlAccount::Summarize(accounts, m_measures);
 }
 
-void
-Fleet::Trace(std::int64_t aFlow, const steering::ShardKey& aShard)
-{
-  m_traced = aFlow;
-  m_tracedShard = aShard;
-}
-
-void
-Fleet::PrintTrace(const std::string& aText) const
-{
-  const auto at =
-    std::chrono::duration_cast<milliseconds>(m_queue.Now() - kScenarioStart);
-  std::printf("trace %8.3fs %s\n",
-              static_cast<double>(at.count()) / 1000.0,
-              aText.c_str());
-}
-
 } // namespace wasabiloom::scenario
--- a/scenario/Fleet.h
+++ b/scenario/Fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "EventQueue.h"
+#include "FlowTrace.h"
 #include "HostUnderTest.h"
 #include "Links.h"
 #include "Measures.h"
@@ -77,8 +78,8 @@
   /// Sets who hears of packets. Call before the first packet.
   void SetListener(FleetListener& aListener) { m_listener = &aListener; }
 
-  /// Prints what concerns the flow `aFlow` and its shard.
-  void Trace(std::int64_t aFlow, const steering::ShardKey& aShard);
+  /// The trace of one flow.
+  FlowTrace& Trace() { return m_trace; }
 
   /// Hands a packet to a random host that the fabric believes live.
   void Spray(const TravellingPacket& aPacket);
@@ -136,7 +137,6 @@
                 const peer::Datagram& aDatagram);
   void Run(int aHost, const EventQueue::Action& aAction);
   void TickLater(int aHost);
-  void PrintTrace(const std::string& aText) const;
   int HostAt(const base::Ipv4Address& aAddress) const;
   base::Duration CallerDelay();
   void DeliverLater(int aHost, const EventQueue::Action& aAction);
@@ -156,8 +156,7 @@
   bool m_platformUp = true;
   double m_duplication = 0;
   std::uint64_t m_incarnation = 0;
-  std::int64_t m_traced = -1;
-  steering::ShardKey m_tracedShard;
+  FlowTrace m_trace;
 };
 
 } // namespace wasabiloom::scenario
--- a/scenario/FleetHost.h
+++ b/scenario/FleetHost.h
@@ -43,9 +43,11 @@
   void LogFlow(const core::FlowDecision& /*aDecision*/) override {}
   void LogEvent(const core::HostEvent& aEvent) override
   {
-    if (m_fleet.m_traced >= 0) {
-      m_fleet.PrintTrace(HostName(m_index) + " " + std::string(aEvent.m_what) +
-                         " " + aEvent.m_detail);
+    if (m_fleet.m_trace.IsStarted()) {
+      m_fleet.m_trace.Print(HostName(m_index) + " " +
+                              std::string(aEvent.m_what) + " " +
+                              aEvent.m_detail,
+                            m_fleet.m_queue.Now());
     }
   }
 
--- a/scenario/Runner.cpp
+++ b/scenario/Runner.cpp
@@ -80,7 +80,7 @@
     const std::uint64_t hash = packet::HashFlow(key);
     for (const bundle::Service& service : m_site.Bundle().m_services) {
       if (service.m_address == key.m_service) {
-        m_fleet.Trace(
+        m_fleet.Trace().Start(
           m_traced,
           { steering::MakeServiceId(service.m_name), steering::ShardOf(hash) });
       }
