--- a/src/wasabiloom/base/ResultCode.h
+++ b/src/wasabiloom/base/ResultCode.h
@@ -48,6 +48,8 @@
   PlatformUnavailable = 504,
   ValueNotFound = 505,
   RateLimited = 506,
+  HistoryGone = 507,
+  RegistryMalformed = 508,
   SocketFailed = 601,
   UsageError = 602,
 };
--- /dev/null
+++ b/src/wasabiloom/daemon/HttpClient.cpp
@@ -0,0 +1,192 @@
+#include "wasabiloom/daemon/HttpClient.h"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <boost/beast/http.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace wasabiloom::daemon {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Without an acknowledgement for so long, a connection is dead.
+constexpr int kUserTimeoutMs = 1500;
+constexpr int kKeepIdleS = 1;
+constexpr int kKeepIntervalS = 1;
+constexpr int kKeepProbes = 2;
+
+void
+SetOption(int aDescriptor, int aLevel, int aName, int aValue)
+{
+  // A system that lacks the option still has the call's own timeout.
+  (void)setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+void
+WatchForSilence(int aDescriptor)
+{
+  SetOption(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepIdleS);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepIntervalS);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepProbes);
+  SetOption(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+} // namespace
+
+/// One answer as it arrives.
+struct HttpClient::Exchange
+{
+  http::response_parser<http::string_body> m_parser;
+  std::string m_pending;
+
+  Exchange()
+  {
+    m_parser.body_limit(kMaxBodyBytes);
+    m_parser.eager(true);
+  }
+};
+
+HttpClient::HttpClient(const base::Endpoint& aServer)
+  : m_server(aServer)
+{
+  m_timer.setSingleShot(true);
+  m_timer.setTimerType(Qt::PreciseTimer);
+  connect(&m_timer, &QTimer::timeout, this, [this] { Fail("no answer in time"); });
+}
+
+HttpClient::~HttpClient()
+{
+  if (m_socket) {
+    m_socket->disconnect(this);
+  }
+}
+
+void
+HttpClient::Get(const std::string& aTarget,
+                base::Duration aTimeout,
+                std::function<void(const HttpAnswer&)> aOnAnswer)
+{
+  m_onAnswer = std::move(aOnAnswer);
+  m_request = "GET " + aTarget + " HTTP/1.1\r\nHost: " + ToString(m_server) +
+              "\r\nAccept: application/json\r\n\r\n";
+  m_exchange = std::make_unique<Exchange>();
+  m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(aTimeout));
+  m_isReused =
+    m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
+  if (m_isReused) {
+    SendRequest();
+  } else {
+    Connect();
+  }
+}
+
+void
+HttpClient::Connect()
+{
+  m_socket = std::make_unique<QTcpSocket>();
+  m_socket->setProxy(QNetworkProxy::NoProxy);
+  connect(m_socket.get(), &QTcpSocket::connected, this, [this] {
+    SendRequest();
+  });
+  connect(
+    m_socket.get(), &QTcpSocket::readyRead, this, [this] { OnReadable(); });
+  connect(m_socket.get(), &QTcpSocket::errorOccurred, this, [this] {
+    OnClosed();
+  });
+  m_socket->connectToHost(QHostAddress(m_server.m_address.m_bits),
+                          m_server.m_port);
+}
+
+void
+HttpClient::SendRequest()
+{
+  m_socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+  WatchForSilence(static_cast<int>(m_socket->socketDescriptor()));
+  m_socket->write(m_request.data(), static_cast<qint64>(m_request.size()));
+}
+
+void
+HttpClient::OnReadable()
+{
+  if (!m_onAnswer) {
+    // Bytes that nobody asked for: the connection can't be trusted.
+    m_socket->abort();
+    return;
+  }
+  m_exchange->m_pending += m_socket->readAll().toStdString();
+  boost::system::error_code failure;
+  while (!m_exchange->m_pending.empty() && !m_exchange->m_parser.is_done()) {
+    const std::size_t used = m_exchange->m_parser.put(
+      boost::asio::buffer(m_exchange->m_pending), failure);
+    m_exchange->m_pending.erase(0, used);
+    if (failure == http::error::need_more) {
+      return;
+    }
+    if (failure) {
+      Fail("malformed answer: " + failure.message());
+      return;
+    }
+  }
+  if (m_exchange->m_parser.is_done()) {
+    const auto& message = m_exchange->m_parser.get();
+    const bool keep = message.keep_alive() && m_exchange->m_pending.empty();
+    Finish({ static_cast<int>(message.result_int()), message.body(), "" },
+           keep);
+  }
+}
+
+void
+HttpClient::OnClosed()
+{
+  const std::string problem = m_socket->errorString().toStdString();
+  if (!m_onAnswer) {
+    return;
+  }
+  boost::system::error_code failure;
+  if (m_exchange->m_parser.got_some()) {
+    m_exchange->m_parser.put_eof(failure);
+    if (!failure && m_exchange->m_parser.is_done()) {
+      const auto& message = m_exchange->m_parser.get();
+      Finish({ static_cast<int>(message.result_int()), message.body(), "" },
+             false);
+      return;
+    }
+  }
+  if (m_isReused && !m_exchange->m_parser.got_some()) {
+    // The server had closed the idle connection; a read may be repeated.
+    m_isReused = false;
+    m_socket.release()->deleteLater();
+    Connect();
+    return;
+  }
+  Fail(problem);
+}
+
+void
+HttpClient::Fail(const std::string& aProblem)
+{
+  Finish({ 0, "", aProblem }, false);
+}
+
+void
+HttpClient::Finish(const HttpAnswer& aAnswer, bool aKeep)
+{
+  m_timer.stop();
+  const HttpAnswer answer = aAnswer;
+  if (!aKeep && m_socket) {
+    m_socket->disconnect(this);
+    m_socket->abort();
+    m_socket.release()->deleteLater();
+  }
+  const auto onAnswer = std::move(m_onAnswer);
+  m_onAnswer = nullptr;
+  onAnswer(answer);
+}
+
+} // namespace wasabiloom::daemon
--- /dev/null
+++ b/src/wasabiloom/daemon/HttpServer.cpp
@@ -0,0 +1,158 @@
+#include "wasabiloom/daemon/HttpServer.h"
+
+#include <QHostAddress>
+#include <QNetworkProxy>
+#include <QTcpSocket>
+#include <QTimer>
+#include <boost/beast/http.hpp>
+
+#include <sstream>
+
+namespace wasabiloom::daemon {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr unsigned kMaxHeadBytes = 8192;
+constexpr int kIdleMs = 30'000;
+constexpr int kBadRequest = 400;
+
+std::string
+Write(const HttpReply& aReply, bool aKeep)
+{
+  http::response<http::string_body> response;
+  response.result(static_cast<unsigned>(aReply.m_status));
+  response.version(11);
+  response.set(http::field::content_type, aReply.m_type);
+  response.body() = aReply.m_body;
+  response.keep_alive(aKeep);
+  response.prepare_payload();
+  std::ostringstream text;
+  text << response;
+  return text.str();
+}
+
+} // namespace
+
+/// One connection; deletes itself with its socket.
+class HttpServer::Connection final : public QObject
+{
+public:
+  Connection(QTcpSocket* aSocket, HttpServer& aServer)
+    : QObject(aSocket)
+    , m_socket(aSocket)
+    , m_server(aServer)
+  {
+    ++m_server.m_connections;
+    m_idle.setSingleShot(true);
+    connect(aSocket, &QTcpSocket::readyRead, this, [this] { OnReadable(); });
+    connect(
+      aSocket, &QTcpSocket::disconnected, aSocket, &QObject::deleteLater);
+    connect(&m_idle, &QTimer::timeout, aSocket, [aSocket] {
+      aSocket->abort();
+      aSocket->deleteLater();
+    });
+    m_idle.start(kIdleMs);
+    NewRequest();
+  }
+
+  ~Connection() override { --m_server.m_connections; }
+
+private:
+  using Parser = http::request_parser<http::empty_body>;
+
+  void NewRequest()
+  {
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(kMaxHeadBytes);
+    m_parser->eager(true);
+  }
+
+  void OnReadable()
+  {
+    m_idle.start(kIdleMs);
+    m_pending += m_socket->readAll().toStdString();
+    while (!m_pending.empty()) {
+      boost::system::error_code failure;
+      const std::size_t used =
+        m_parser->put(boost::asio::buffer(m_pending), failure);
+      m_pending.erase(0, used);
+      if (failure == http::error::need_more) {
+        return;
+      }
+      if (failure) {
+        Send({ kBadRequest, "text/plain", failure.message() }, false);
+        return;
+      }
+      if (m_parser->is_done()) {
+        Answer();
+      }
+    }
+  }
+
+  void Answer()
+  {
+    const auto& request = m_parser->get();
+    const bool keep = request.keep_alive();
+    Send(m_server.m_handler(std::string(request.target())), keep);
+    NewRequest();
+  }
+
+  void Send(const HttpReply& aReply, bool aKeep)
+  {
+    const std::string text = Write(aReply, aKeep);
+    m_socket->write(text.data(), static_cast<qint64>(text.size()));
+    if (!aKeep) {
+      m_pending.clear();
+      m_socket->disconnectFromHost();
+    }
+  }
+
+  QTcpSocket* m_socket;
+  HttpServer& m_server;
+  QTimer m_idle;
+  std::string m_pending;
+  std::unique_ptr<Parser> m_parser;
+};
+
+HttpServer::HttpServer(Handler aHandler)
+  : m_handler(std::move(aHandler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  qDeleteAll(findChildren<QTcpServer*>());
+}
+
+base::Result<void>
+HttpServer::Listen(const base::Endpoint& aLocal)
+{
+  auto* server = new QTcpServer(this);
+  server->setProxy(QNetworkProxy::NoProxy);
+  connect(server, &QTcpServer::newConnection, this, [this, server] {
+    OnConnection(*server);
+  });
+  if (!server->listen(QHostAddress(aLocal.m_address.m_bits), aLocal.m_port)) {
+    return base::Fail(base::ResultCode::SocketFailed,
+                      "TCP " + ToString(aLocal) + ": " +
+                        server->errorString().toStdString());
+  }
+  return {};
+}
+
+void
+HttpServer::OnConnection(QTcpServer& aServer)
+{
+  while (QTcpSocket* socket = aServer.nextPendingConnection()) {
+    if (m_connections >= kMaxHttpConnections) {
+      socket->abort();
+      socket->deleteLater();
+      continue;
+    }
+    new Connection(socket, *this);
+  }
+}
+
+} // namespace wasabiloom::daemon
--- /dev/null
+++ b/src/wasabiloom/daemon/LineBuffer.cpp
@@ -0,0 +1,62 @@
+#include "wasabiloom/daemon/LineBuffer.h"
+
+#include <algorithm>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace wasabiloom::daemon {
+
+namespace {
+
+/// A pipe that polls as writable takes this many bytes without waiting.
+constexpr std::size_t kPieceBytes = 4096;
+
+bool
+IsWritable(int aDescriptor)
+{
+  pollfd ask{ aDescriptor, POLLOUT, 0 };
+  return poll(&ask, 1, 0) == 1 && (ask.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+LineBuffer::LineBuffer(int aDescriptor)
+  : m_descriptor(aDescriptor)
+{
+}
+
+void
+LineBuffer::Append(std::string_view aLine)
+{
+  if (m_waiting.size() + aLine.size() > kMaxWaitingBytes) {
+    ++m_dropped;
+    return;
+  }
+  if (m_dropped > m_reported) {
+    m_waiting += "event=log_lines_dropped total=" + std::to_string(m_dropped);
+    m_waiting += '\n';
+    m_reported = m_dropped;
+  }
+  m_waiting += aLine;
+  m_waiting += '\n';
+}
+
+void
+LineBuffer::Flush()
+{
+  std::size_t written = 0;
+  while (written < m_waiting.size() && IsWritable(m_descriptor)) {
+    const std::size_t piece =
+      std::min(kPieceBytes, m_waiting.size() - written);
+    const ssize_t count =
+      write(m_descriptor, m_waiting.data() + written, piece);
+    if (count <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  m_waiting.erase(0, written);
+}
+
+} // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/SignalWatch.cpp
+++ b/src/wasabiloom/daemon/SignalWatch.cpp
@@ -14,13 +14,18 @@
 
 } // namespace
 
-SignalWatch::SignalWatch(std::function<void()> aOnStop)
+SignalWatch::SignalWatch(std::function<void()> aOnStop,
+                         std::function<void()> aOnReload)
   : m_onStop(std::move(aOnStop))
+  , m_onReload(std::move(aOnReload))
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  if (m_onReload) {
+    sigaddset(&signals, SIGHUP);
+  }
   sigprocmask(SIG_BLOCK, &signals, nullptr);
   m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
   m_notifier =
@@ -41,6 +46,10 @@
 {
   signalfd_siginfo info{};
   while (read(m_descriptor, &info, sizeof(info)) == sizeof(info)) {
+    if (info.ssi_signo == SIGHUP) {
+      m_onReload();
+      continue;
+    }
     if (m_stopping) {
       std::_Exit(kForcedExit);
     }
--- a/src/wasabiloom/daemon/SignalWatch.h
+++ b/src/wasabiloom/daemon/SignalWatch.h
@@ -1,4 +1,4 @@
-/// Turns SIGTERM and SIGINT into calls on the Qt event loop.
+/// Turns signals into calls on the Qt event loop.
 #pragma once
 
 #include <QObject>
@@ -9,18 +9,21 @@
 
 namespace wasabiloom::daemon {
 
-/// Calls `aOnStop` at the first signal and ends the process at the second.
-/// Create it on the main thread, before other threads start.
+/// Calls `aOnStop` at the first SIGTERM or SIGINT and ends the process at the
+/// second; calls `aOnReload`, if any, at each SIGHUP. Create it on the main
+/// thread, before other threads start.
 class SignalWatch final : public QObject
 {
 public:
-  explicit SignalWatch(std::function<void()> aOnStop);
+  explicit SignalWatch(std::function<void()> aOnStop,
+                       std::function<void()> aOnReload = nullptr);
   ~SignalWatch() override;
 
 private:
   void OnReadable();
 
   std::function<void()> m_onStop;
+  std::function<void()> m_onReload;
   int m_descriptor = -1;
   bool m_stopping = false;
   std::unique_ptr<QSocketNotifier> m_notifier;
--- /dev/null
+++ b/src/wasabiloom/daemon/TokenHostProgram.h
@@ -0,0 +1,30 @@
+/// The program around a TokenHostTask: command line, settings, signals.
+#pragma once
+
+#include "wasabiloom/base/Endpoint.h"
+#include "wasabiloom/packet/TokenCodec.h"
+#include "wasabiloom/registry/Source.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wasabiloom::daemon {
+
+/// What differs between the platforms that the program runs on.
+struct TokenHostProgram
+{
+  std::string m_name;
+  /// Settings file when the command line names none; may be empty.
+  std::string m_defaultSettings;
+  const packet::TokenCodec& m_codec;
+  std::function<std::unique_ptr<registry::Source>(const base::Endpoint&)>
+    m_makeRegistry;
+  std::string m_readinessPath;
+};
+
+/// Runs until a signal stops it; returns the exit code. Call once, from main.
+int
+RunTokenHost(const TokenHostProgram& aProgram, int argc, char** argv);
+
+} // namespace wasabiloom::daemon
--- /dev/null
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -0,0 +1,280 @@
+#include "wasabiloom/daemon/TokenHostTask.h"
+
+#include "wasabiloom/daemon/BufferedLog.h"
+#include "wasabiloom/daemon/Clock.h"
+
+namespace wasabiloom::daemon {
+
+namespace {
+
+using registry::ReaderCall;
+
+constexpr std::chrono::milliseconds kTick{ 50 };
+
+/// A stopping host stays at least so long, so that the fabric can notice.
+constexpr base::Duration kLeaveAtLeast = std::chrono::milliseconds(1500);
+
+/// A stopping host ends when no packet came for so long.
+constexpr base::Duration kLeaveQuiet = std::chrono::milliseconds(700);
+
+/// A stopping host ends so long before it would be killed.
+constexpr base::Duration kLeaveMargin = std::chrono::milliseconds(700);
+
+constexpr base::Duration kReportInterval = std::chrono::seconds(1);
+constexpr int kUnavailable = 503;
+constexpr int kNotFound = 404;
+
+/// Share of a bound that is used up by the host's own waits.
+constexpr int kBoundParts = 8;
+constexpr int kBoundUsed = 7;
+
+registry::ReaderTiming
+TimingOf(const settings::TokenHostSettings& aSettings)
+{
+  registry::ReaderTiming timing;
+  timing.m_watchWait = aSettings.m_inTouch * kBoundUsed / kBoundParts;
+  return timing;
+}
+
+token::TokenHostIdentity
+IdentityOf(const settings::TokenHostSettings& aSettings)
+{
+  return { aSettings.m_name,
+           aSettings.m_zone,
+           aSettings.m_zoneOut * kBoundUsed / kBoundParts };
+}
+
+std::int64_t
+Milliseconds(base::Duration aSpan)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+}
+
+} // namespace
+
+TokenHostTask::TokenHostTask(const settings::TokenHostSettings& aSettings,
+                             const TokenHostAdapter& aAdapter,
+                             LineBuffer& aLog)
+  : m_settings(aSettings)
+  , m_adapter(aAdapter)
+  , m_log(aLog)
+  , m_host(IdentityOf(aSettings),
+           TimingOf(aSettings),
+           NewIncarnation(),
+           aAdapter.m_codec,
+           *this)
+  , m_server([this](const std::string& aPath) { return Answer(aPath); })
+{
+  m_timer.setInterval(kTick);
+  connect(&m_timer, &QTimer::timeout, this, [this] { OnTick(); });
+}
+
+TokenHostTask::~TokenHostTask() = default;
+
+base::Result<void>
+TokenHostTask::Start()
+{
+  m_startedAt = Now();
+  MakeCall(m_startedAt);
+  BOOST_LEAF_ASSIGN(m_socket, UdpSocket::Bind(m_settings.m_packets));
+  m_notifier = std::make_unique<QSocketNotifier>(m_socket->Descriptor(),
+                                                 QSocketNotifier::Read);
+  connect(m_notifier.get(), &QSocketNotifier::activated, this, [this] {
+    OnReadable();
+  });
+  BOOST_LEAF_CHECK(m_server.Listen(m_settings.m_readiness));
+  BOOST_LEAF_CHECK(
+    m_server.Listen({ m_settings.m_address, m_settings.m_peerPort }));
+  if (m_settings.m_metricsPort != 0) {
+    BOOST_LEAF_CHECK(
+      m_server.Listen({ m_settings.m_address, m_settings.m_metricsPort }));
+  }
+  m_timer.start();
+  return {};
+}
+
+void
+TokenHostTask::Reload(const settings::TokenHostSettings& aSettings)
+{
+  settings::TokenHostSettings changed = m_settings;
+  changed.m_zoneOut = aSettings.m_zoneOut;
+  changed.m_stopGrace = aSettings.m_stopGrace;
+  changed.m_peers = aSettings.m_peers;
+  changed.m_logLevel = aSettings.m_logLevel;
+  const bool isWhole = changed == aSettings;
+  m_settings = changed;
+  m_host.SetZoneOutGrace(IdentityOf(m_settings).m_zoneOutGrace);
+  SetUpBufferedLog(m_settings.m_logLevel, m_log);
+  LogLine(isWhole ? LogLevel::Info : LogLevel::Warn,
+          "host",
+          std::string("event=reloaded whole=") + (isWhole ? "1" : "0"));
+}
+
+void
+TokenHostTask::BeginLeave(std::function<void()> aOnStopped)
+{
+  m_onStopped = std::move(aOnStopped);
+  m_leaveSince = Now();
+  LogLine(LogLevel::Info,
+          "host",
+          "event=stopping flows=" + std::to_string(m_host.FlowCount()));
+}
+
+void
+TokenHostTask::ContinueLeave(base::Instant aNow)
+{
+  const base::Duration since = aNow - m_leaveSince;
+  const bool quiet = aNow - m_packetAt > kLeaveQuiet;
+  const bool late = since > m_settings.m_stopGrace - kLeaveMargin;
+  if (late || (since > kLeaveAtLeast && quiet)) {
+    LogLine(LogLevel::Info,
+            "host",
+            "event=stopped after_ms=" + std::to_string(Milliseconds(since)));
+    const auto onStopped = std::move(m_onStopped);
+    m_onStopped = nullptr;
+    onStopped();
+  }
+}
+
+void
+TokenHostTask::OnReadable()
+{
+  const base::Instant now = Now();
+  m_packetAt = now;
+  const auto datagrams = m_socket->Receive();
+  for (const Received& datagram : datagrams) {
+    m_host.OnPacket(datagram.m_bytes, now);
+  }
+  m_metrics.ObserveBatch(Now() - now);
+}
+
+void
+TokenHostTask::OnTick()
+{
+  const base::Instant now = Now();
+  m_host.OnTick(now);
+  MakeCall(now);
+  ReportMalformed(now);
+  if (m_onStopped) {
+    ContinueLeave(now);
+  }
+  m_log.Flush();
+}
+
+void
+TokenHostTask::MakeCall(base::Instant aNow)
+{
+  const ReaderCall call = m_host.NextCall(aNow);
+  const auto finish = [this, aNow] {
+    const base::Instant now = Now();
+    m_metrics.ObserveCall(now - aNow);
+    NoteReady();
+    MakeCall(now);
+  };
+  switch (call.m_kind) {
+    case ReaderCall::Kind::None:
+      return;
+    case ReaderCall::Kind::List:
+      m_adapter.m_registry.List(
+        call.m_after,
+        call.m_timeout,
+        [this, finish](const registry::ListAnswer& aAnswer) {
+          m_host.OnListAnswer(aAnswer, Now());
+          finish();
+        });
+      return;
+    case ReaderCall::Kind::Watch:
+      m_adapter.m_registry.Watch(
+        call.m_revision,
+        call.m_wait,
+        call.m_timeout,
+        [this, finish](const registry::WatchAnswer& aAnswer) {
+          m_host.OnWatchAnswer(aAnswer, Now());
+          finish();
+        });
+      return;
+  }
+}
+
+void
+TokenHostTask::NoteReady()
+{
+  if (m_wasReady || !m_host.IsReady()) {
+    return;
+  }
+  m_wasReady = true;
+  LogLine(LogLevel::Info,
+          "host",
+          "event=ready after_ms=" +
+            std::to_string(Milliseconds(Now() - m_startedAt)));
+}
+
+HttpReply
+TokenHostTask::Answer(const std::string& aPath)
+{
+  if (aPath == m_adapter.m_readinessPath) {
+    const bool ready = m_host.IsReady() && !m_onStopped;
+    return { ready ? 200 : kUnavailable, "text/plain", ready ? "ready\n" : "" };
+  }
+  if (aPath == "/metrics") {
+    return { 200, "text/plain; version=0.0.4", m_metrics.Write(m_host) };
+  }
+  return { kNotFound, "text/plain", "" };
+}
+
+void
+TokenHostTask::Send(const base::Endpoint& aTo, std::span<const std::byte> aBytes)
+{
+  m_socket->Send(
+    { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() }, aTo);
+}
+
+void
+TokenHostTask::LogDecision(const token::Decision& aDecision)
+{
+  if (!IsLogged(LogLevel::Info)) {
+    return;
+  }
+  std::string line = "event=flow action=";
+  line += ToString(aDecision.m_action);
+  line += " reason=";
+  line += ToString(aDecision.m_reason);
+  line += " caller=" + ToString(aDecision.m_flow.m_caller);
+  line += " route=" + ToString(aDecision.m_flow.m_service.m_endpoint);
+  line += " service=";
+  line += aDecision.m_service.empty() ? "-" : aDecision.m_service;
+  line += " server=";
+  line += aDecision.m_server.empty() ? "-" : aDecision.m_server;
+  line += " token=" + std::to_string(aDecision.m_token);
+  line += " copy=" + std::to_string(aDecision.m_copy);
+  line += " version=" + std::to_string(aDecision.m_version);
+  line += " revision=" + std::to_string(aDecision.m_revision);
+  line += " age_ms=" + std::to_string(Milliseconds(aDecision.m_age));
+  LogLine(LogLevel::Info, "flow", line);
+}
+
+void
+TokenHostTask::LogBelief(std::string_view aWhat, const std::string& aDetail)
+{
+  LogLine(LogLevel::Info,
+          "belief",
+          "event=" + std::string(aWhat) + " " + aDetail);
+}
+
+void
+TokenHostTask::ReportMalformed(base::Instant aNow)
+{
+  const std::uint64_t total = m_host.GetTotals().m_malformed;
+  if (total == m_malformedReported || aNow - m_reportedAt < kReportInterval) {
+    return;
+  }
+  LogLine(LogLevel::Warn,
+          "flow",
+          "event=malformed_packets count=" +
+            std::to_string(total - m_malformedReported) +
+            " total=" + std::to_string(total));
+  m_malformedReported = total;
+  m_reportedAt = aNow;
+}
+
+} // namespace wasabiloom::daemon
--- /dev/null
+++ b/src/wasabiloom/daemon/TokenHostTask.h
@@ -0,0 +1,86 @@
+/// Task that owns an entry host under the token policy and all its sockets.
+#pragma once
+
+#include "wasabiloom/daemon/HttpServer.h"
+#include "wasabiloom/daemon/LineBuffer.h"
+#include "wasabiloom/daemon/TokenMetrics.h"
+#include "wasabiloom/daemon/UdpSocket.h"
+#include "wasabiloom/settings/TokenHostSettings.h"
+#include "wasabiloom/token/TokenHost.h"
+
+#include <QObject>
+#include <QSocketNotifier>
+#include <QTimer>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace wasabiloom::daemon {
+
+/// The outer world's manners that the task needs.
+struct TokenHostAdapter
+{
+  const packet::TokenCodec& m_codec;
+  registry::Source& m_registry;
+  /// Path under which readiness is asked for.
+  std::string m_readinessPath;
+};
+
+/// Drives a TokenHost from sockets and timers on the Qt event loop of the
+/// thread it lives in.
+class TokenHostTask final
+  : public QObject
+  , private token::TokenEffects
+{
+public:
+  /// What the adapter refers to, and `aLog`, must outlive the task.
+  TokenHostTask(const settings::TokenHostSettings& aSettings,
+                const TokenHostAdapter& aAdapter,
+                LineBuffer& aLog);
+  ~TokenHostTask() override;
+
+  /// Binds the sockets, makes the first call, starts the timers. Errors:
+  /// SocketFailed.
+  base::Result<void> Start();
+
+  /// Adopts changed settings; those that need a restart are left and logged.
+  void Reload(const settings::TokenHostSettings& aSettings);
+
+  /// Says no to readiness, goes on carrying packets until none come or the
+  /// grace ends, then calls `aOnStopped`.
+  void BeginLeave(std::function<void()> aOnStopped);
+
+private:
+  void Send(const base::Endpoint& aTo,
+            std::span<const std::byte> aBytes) override;
+  void LogDecision(const token::Decision& aDecision) override;
+  void LogBelief(std::string_view aWhat, const std::string& aDetail) override;
+
+  void OnReadable();
+  void OnTick();
+  void MakeCall(base::Instant aNow);
+  void NoteReady();
+  void ContinueLeave(base::Instant aNow);
+  HttpReply Answer(const std::string& aPath);
+  void ReportMalformed(base::Instant aNow);
+
+  settings::TokenHostSettings m_settings;
+  TokenHostAdapter m_adapter;
+  LineBuffer& m_log;
+  token::TokenHost m_host;
+  TokenMetrics m_metrics;
+  HttpServer m_server;
+  std::unique_ptr<UdpSocket> m_socket;
+  std::unique_ptr<QSocketNotifier> m_notifier;
+  QTimer m_timer;
+  base::Instant m_startedAt;
+  base::Instant m_packetAt;
+  base::Instant m_leaveSince;
+  base::Instant m_reportedAt;
+  std::uint64_t m_malformedReported = 0;
+  bool m_wasReady = false;
+  std::function<void()> m_onStopped;
+};
+
+} // namespace wasabiloom::daemon
--- a/src/wasabiloom/jsonc/ObjectReader.cpp
+++ b/src/wasabiloom/jsonc/ObjectReader.cpp
@@ -160,6 +160,32 @@
   return GetInteger(*node, aLow, aHigh);
 }
 
+Result<double>
+ObjectReader::NumberOr(std::string_view aKey,
+                       double aLow,
+                       double aHigh,
+                       double aDefault)
+{
+  const Node* node = OptionalMember(aKey);
+  if (node == nullptr) {
+    return aDefault;
+  }
+  const auto* whole = std::get_if<std::int64_t>(&node->m_content);
+  const auto* fraction = std::get_if<double>(&node->m_content);
+  if (whole == nullptr && fraction == nullptr) {
+    return WrongType(*node, "number");
+  }
+  const double value =
+    whole != nullptr ? static_cast<double>(*whole) : *fraction;
+  if (value < aLow || value > aHigh) {
+    return FailAt(*node,
+                  ResultCode::JsonOutOfRange,
+                  "expected " + std::to_string(aLow) + " to " +
+                    std::to_string(aHigh) + ", found " + std::to_string(value));
+  }
+  return value;
+}
+
 Result<bool>
 ObjectReader::FlagOr(std::string_view aKey, bool aDefault)
 {
--- a/src/wasabiloom/jsonc/ObjectReader.h
+++ b/src/wasabiloom/jsonc/ObjectReader.h
@@ -56,6 +56,13 @@
                                        std::int64_t aHigh,
                                        std::int64_t aDefault);
 
+  /// Whole or fractional number of `aLow` to `aHigh`, or `aDefault` when
+  /// absent. Errors: JsonWrongType, JsonOutOfRange.
+  base::Result<double> NumberOr(std::string_view aKey,
+                                double aLow,
+                                double aHigh,
+                                double aDefault);
+
   /// Boolean, or `aDefault` when absent.
   base::Result<bool> FlagOr(std::string_view aKey, bool aDefault);
 
--- /dev/null
+++ b/src/wasabiloom/packet/TokenCodec.cpp
@@ -0,0 +1,7 @@
+#include "wasabiloom/packet/TokenCodec.h"
+
+namespace wasabiloom::packet {
+
+TokenCodec::~TokenCodec() = default;
+
+} // namespace wasabiloom::packet
--- /dev/null
+++ b/src/wasabiloom/placing/Suspicion.cpp
@@ -0,0 +1,64 @@
+#include "wasabiloom/placing/Suspicion.h"
+
+#include <algorithm>
+
+namespace wasabiloom::placing {
+
+namespace {
+
+constexpr std::uint32_t kMaxDoublings = 4;
+
+} // namespace
+
+void
+Suspicion::Raise(Doubt& aDoubt, base::Instant aNow)
+{
+  if (aNow < aDoubt.m_until) {
+    return;
+  }
+  const std::uint32_t doublings = std::min(aDoubt.m_raised, kMaxDoublings);
+  ++aDoubt.m_raised;
+  aDoubt.m_until =
+    aNow + std::min(kFirstDoubt * (1U << doublings), kLongestDoubt);
+}
+
+void
+Suspicion::OnUnanswered(std::uint32_t aToken, base::Instant aNow)
+{
+  Raise(m_known[aToken], aNow);
+}
+
+void
+Suspicion::OnStall(std::uint32_t aToken, base::Instant aNow)
+{
+  Doubt& doubt = m_known[aToken];
+  ++doubt.m_stalls;
+  if (doubt.m_stalls >= kStallsForDoubt) {
+    doubt.m_stalls = 0;
+    Raise(doubt, aNow);
+  }
+}
+
+void
+Suspicion::OnAlive(std::uint32_t aToken, base::Instant aNow)
+{
+  Doubt& doubt = m_known[aToken];
+  doubt = Doubt{};
+  doubt.m_aliveAt = aNow;
+}
+
+bool
+Suspicion::IsSuspect(std::uint32_t aToken, base::Instant aNow) const
+{
+  const auto found = m_known.find(aToken);
+  return found != m_known.end() && aNow < found->second.m_until;
+}
+
+base::Instant
+Suspicion::AliveAt(std::uint32_t aToken) const
+{
+  const auto found = m_known.find(aToken);
+  return found == m_known.end() ? base::Instant{} : found->second.m_aliveAt;
+}
+
+} // namespace wasabiloom::placing
--- /dev/null
+++ b/src/wasabiloom/placing/Suspicion.h
@@ -0,0 +1,56 @@
+/// Doubt about backend servers, from what callers' packets show.
+#pragma once
+
+#include "wasabiloom/base/Time.h"
+
+#include <cstdint>
+#include <unordered_map>
+
+namespace wasabiloom::placing {
+
+/// How long the first doubt lasts; it doubles while nothing speaks for the
+/// server, up to the longest.
+constexpr base::Duration kFirstDoubt = std::chrono::milliseconds(1500);
+constexpr base::Duration kLongestDoubt = std::chrono::seconds(12);
+
+/// Stalled flows of one server, with none that goes on, that raise doubt.
+constexpr std::uint32_t kStallsForDoubt = 2;
+
+/// Remembers for each backend server whether callers hear from it. One thread
+/// at a time.
+class Suspicion
+{
+public:
+  /// An opening packet that went to `aToken` was sent again.
+  void OnUnanswered(std::uint32_t aToken, base::Instant aNow);
+
+  /// A caller repeats data on a flow at `aToken`.
+  void OnStall(std::uint32_t aToken, base::Instant aNow);
+
+  /// A caller has received something new from `aToken`.
+  void OnAlive(std::uint32_t aToken, base::Instant aNow);
+
+  /// Whether the server is to be avoided.
+  bool IsSuspect(std::uint32_t aToken, base::Instant aNow) const;
+
+  /// When `aToken` last gave a sign of life; the epoch when never.
+  base::Instant AliveAt(std::uint32_t aToken) const;
+
+  /// Forgets a server that is gone.
+  void Forget(std::uint32_t aToken) { m_known.erase(aToken); }
+
+private:
+  struct Doubt
+  {
+    base::Instant m_until;
+    base::Instant m_aliveAt;
+    std::uint32_t m_stalls = 0;
+    std::uint32_t m_raised = 0;
+  };
+
+  static void Raise(Doubt& aDoubt, base::Instant aNow);
+
+  std::unordered_map<std::uint32_t, Doubt> m_known;
+};
+
+} // namespace wasabiloom::placing
--- /dev/null
+++ b/src/wasabiloom/registry/Beliefs.h
@@ -0,0 +1,155 @@
+/// What a host believes of the registry's facts, with age.
+#pragma once
+
+#include "wasabiloom/registry/Facts.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace wasabiloom::registry {
+
+/// How a backend server stands in the registry.
+enum class Presence : std::uint8_t
+{
+  /// Its entry is there.
+  Listed,
+  /// Its entry went without a farewell; it may come back within the grace.
+  Lapsed,
+  /// It has left, or stayed away for longer than the grace.
+  Gone,
+  /// Another start under the same id has taken its place.
+  Replaced,
+};
+
+/// Name of `aPresence` for logs. Thread safe.
+std::string_view
+ToString(Presence aPresence);
+
+/// One start of a backend server, as believed.
+struct ServerBelief
+{
+  Server m_server;
+  /// What callers' packets carry to name this start; never 0.
+  std::uint32_t m_token = 0;
+  Presence m_presence = Presence::Listed;
+  /// When the presence took its value.
+  base::Instant m_since;
+  /// Until when the server is cold.
+  base::Instant m_coldUntil;
+  std::uint64_t m_revision = 0;
+  /// Another start has the same token; this one takes no flow.
+  bool m_clashes = false;
+};
+
+/// The token of the start `aBorn` of the server `aId`; equal on every host.
+/// Thread safe.
+std::uint32_t
+MakeToken(std::string_view aId, std::uint64_t aBorn);
+
+/// How long a lapsed entry may take to come back.
+constexpr base::Duration kLapseGrace = std::chrono::milliseconds(2500);
+
+/// How long a start that is gone keeps its token.
+constexpr base::Duration kForgetAfter = std::chrono::seconds(75);
+
+/// What came of a fact.
+enum class Outcome : std::uint8_t
+{
+  /// Nothing new.
+  Unchanged,
+  /// The belief changed.
+  Adopted,
+  /// Older than what is believed.
+  Stale,
+  /// Could not be understood and was left aside.
+  SetAside,
+};
+
+/// Name of `aOutcome` for logs. Thread safe.
+std::string_view
+ToString(Outcome aOutcome);
+
+/// Facts in force on this host. Never goes back to an older revision of a
+/// fact, nor to an older version of the configuration. One thread at a time.
+class Beliefs
+{
+public:
+  Beliefs();
+  ~Beliefs();
+  Beliefs(const Beliefs&) = delete;
+  Beliefs& operator=(const Beliefs&) = delete;
+
+  /// Takes in one fact.
+  Outcome Apply(const Fact& aFact, base::Instant aNow);
+
+  /// Ends a listing that began at `aRevision` and found `aFound`: whatever
+  /// was believed at that revision and was not found is removed.
+  void EndListing(std::uint64_t aRevision,
+                  const std::set<std::pair<FactKind, std::string>>& aFound,
+                  base::Instant aNow);
+
+  /// Lets lapsed entries go and forgets those that are long gone.
+  void Tick(base::Instant aNow);
+
+  /// Whether a configuration and a whole listing were seen.
+  bool IsComplete() const { return m_listed && m_configuration.m_version > 0; }
+
+  const Configuration& InForce() const { return m_configuration; }
+
+  /// Route at `aAddress`, or null.
+  const Route* FindRoute(const base::Endpoint& aAddress) const;
+
+  /// Rules of the service named `aName`, or null.
+  const ServiceRules* FindService(std::string_view aName) const;
+
+  /// Start that `aToken` names, or null.
+  const ServerBelief* FindToken(std::uint32_t aToken) const;
+
+  /// Starts of the service's servers that are listed or lapsed.
+  const std::vector<const ServerBelief*>& ServersOf(
+    std::string_view aService) const;
+
+  /// When `aZone` was seen taken out; empty when it is in service.
+  std::optional<base::Instant> ZoneOutSince(const std::string& aZone) const;
+
+  /// All that is believed, as facts that another host can take in.
+  std::vector<Fact> ToFacts() const;
+
+  std::size_t ServerCount() const { return m_byToken.size(); }
+
+private:
+  struct ZoneBelief
+  {
+    bool m_out = false;
+    base::Instant m_since;
+    std::uint64_t m_revision = 0;
+  };
+
+  Outcome ApplyConfiguration(const Fact& aFact);
+  Outcome ApplyServer(const Fact& aFact, base::Instant aNow);
+  Outcome ApplyZone(const Fact& aFact, base::Instant aNow);
+  Outcome RemoveServer(ServerBelief& aBelief,
+                       std::uint64_t aRevision,
+                       base::Instant aNow);
+  ServerBelief& Add(const Server& aServer);
+  void SetPresence(ServerBelief& aBelief,
+                   Presence aPresence,
+                   base::Instant aNow);
+  void IndexServices();
+
+  Configuration m_configuration;
+  std::uint64_t m_configurationRevision = 0;
+  bool m_listed = false;
+  std::unordered_map<std::uint64_t, const Route*> m_routes;
+  std::unordered_map<std::uint32_t, std::unique_ptr<ServerBelief>> m_byToken;
+  /// The latest start of each id.
+  std::map<std::string, ServerBelief*, std::less<>> m_byId;
+  std::map<std::string, std::vector<const ServerBelief*>, std::less<>>
+    m_byService;
+  std::map<std::string, ZoneBelief> m_zones;
+};
+
+} // namespace wasabiloom::registry
--- /dev/null
+++ b/src/wasabiloom/registry/Facts.h
@@ -0,0 +1,133 @@
+/// What a registry publishes: routes, backend servers, zones taken out.
+#pragma once
+
+#include "wasabiloom/base/Endpoint.h"
+#include "wasabiloom/base/Time.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace wasabiloom::registry {
+
+/// A service and its part of a route's new flows.
+struct ServiceShare
+{
+  std::string m_service;
+  std::uint32_t m_weight = 0;
+
+  friend auto operator<=>(const ServiceShare&, const ServiceShare&) = default;
+};
+
+/// An address that callers send to, and where its new flows go.
+struct Route
+{
+  std::string m_name;
+  base::Endpoint m_address;
+  std::vector<ServiceShare> m_shares;
+
+  friend auto operator<=>(const Route&, const Route&) = default;
+};
+
+/// What the configuration says of one service.
+struct ServiceRules
+{
+  std::string m_name;
+  /// New flows a second that one cold backend server bears, over all hosts; 0
+  /// where no limit is stated.
+  double m_coldFlowsPerSecond = 0;
+
+  friend auto operator<=>(const ServiceRules&, const ServiceRules&) = default;
+};
+
+/// One version of the whole configuration.
+struct Configuration
+{
+  std::uint64_t m_version = 0;
+  std::vector<Route> m_routes;
+  std::vector<ServiceRules> m_services;
+  /// A flow that is silent for longer may be forgotten.
+  base::Duration m_idleTimeout{ 0 };
+
+  friend auto operator<=>(const Configuration&, const Configuration&) = default;
+};
+
+/// What a backend server says of itself.
+enum class ServerState : std::uint8_t
+{
+  Ready,
+  Draining,
+};
+
+/// A backend server's own entry.
+struct Server
+{
+  std::string m_id;
+  /// The id as the number that names the server in a datagram.
+  std::uint64_t m_number = 0;
+  /// Tells apart the starts of a server under one id.
+  std::uint64_t m_born = 0;
+  std::string m_service;
+  base::Endpoint m_address;
+  std::string m_zone;
+  std::uint32_t m_slots = 0;
+  ServerState m_state = ServerState::Ready;
+  /// How much longer the server is cold, counted from when the entry came.
+  base::Duration m_coldFor{ 0 };
+
+  friend auto operator<=>(const Server&, const Server&) = default;
+};
+
+/// Marks a zone as taken out of service.
+struct ZoneOut
+{
+  friend auto operator<=>(const ZoneOut&, const ZoneOut&) = default;
+};
+
+/// A value that could not be understood.
+struct Unusable
+{
+  std::string m_reason;
+
+  friend auto operator<=>(const Unusable&, const Unusable&) = default;
+};
+
+/// The value is no longer there.
+struct Removed
+{
+  friend auto operator<=>(const Removed&, const Removed&) = default;
+};
+
+/// What a fact is about.
+enum class FactKind : std::uint8_t
+{
+  Configuration,
+  Server,
+  ZoneOut,
+  Other,
+};
+
+using FactContent =
+  std::variant<Configuration, Server, ZoneOut, Unusable, Removed>;
+
+/// One published value, or its removal.
+struct Fact
+{
+  FactKind m_kind = FactKind::Other;
+  /// Id of the server, or name of the zone.
+  std::string m_name;
+  /// Rises with every change in the registry.
+  std::uint64_t m_revision = 0;
+  FactContent m_content;
+
+  friend auto operator<=>(const Fact&, const Fact&) = default;
+};
+
+/// Name of `aKind` for logs. Thread safe.
+std::string_view
+ToString(FactKind aKind);
+
+} // namespace wasabiloom::registry
--- /dev/null
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -0,0 +1,158 @@
+#include "wasabiloom/registry/Reader.h"
+
+#include <algorithm>
+
+namespace wasabiloom::registry {
+
+namespace {
+
+constexpr std::uint32_t kMaxDoublings = 8;
+
+} // namespace
+
+ReaderEvents::~ReaderEvents() = default;
+
+Reader::Reader(const ReaderTiming& aTiming,
+               std::uint64_t aSeed,
+               Beliefs& aBeliefs,
+               ReaderEvents& aEvents)
+  : m_timing(aTiming)
+  , m_random(aSeed)
+  , m_beliefs(aBeliefs)
+  , m_events(aEvents)
+{
+}
+
+ReaderCall
+Reader::Next(base::Instant aNow)
+{
+  if (m_inCall || aNow < m_due) {
+    return {};
+  }
+  m_inCall = true;
+  ReaderCall call;
+  if (m_listing) {
+    call.m_kind = ReaderCall::Kind::List;
+    call.m_after = m_after;
+    call.m_timeout = m_timing.m_answerTimeout;
+    return call;
+  }
+  call.m_kind = ReaderCall::Kind::Watch;
+  call.m_revision = m_revision;
+  // After a failure the first watch returns at once, to learn soon whether
+  // the registry answers again.
+  call.m_wait = m_failures > 0 ? base::Duration::zero() : m_timing.m_watchWait;
+  call.m_timeout = call.m_wait + m_timing.m_answerTimeout;
+  return call;
+}
+
+void
+Reader::OnPage(const Page& aPage, base::Instant aNow)
+{
+  m_inCall = false;
+  m_due = aNow;
+  NoteAnswer(aPage.m_revision, aNow);
+  if (m_after.empty()) {
+    m_listRevision = aPage.m_revision;
+    m_found.clear();
+  }
+  for (const Fact& fact : aPage.m_facts) {
+    m_found.emplace(fact.m_kind, fact.m_name);
+  }
+  Take(aPage.m_facts, aNow);
+  m_after = aPage.m_next;
+  if (!m_after.empty()) {
+    return;
+  }
+  // Pages are no snapshot: whatever changed since the first one is watched.
+  m_listing = false;
+  m_revision = std::max(m_revision, m_listRevision);
+  m_beliefs.EndListing(m_listRevision, m_found, aNow);
+  m_events.OnListed(m_listRevision, m_found.size());
+  m_found.clear();
+}
+
+void
+Reader::OnChanges(const Changes& aChanges, base::Instant aNow)
+{
+  m_inCall = false;
+  NoteAnswer(aChanges.m_revision, aNow);
+  Take(aChanges.m_facts, aNow);
+  m_revision = std::max(m_revision, aChanges.m_revision);
+  m_due = aChanges.m_facts.empty() ? aNow : aNow + m_timing.m_pace;
+}
+
+void
+Reader::OnFailure(const CallFailure& aFailure, base::Instant aNow)
+{
+  m_inCall = false;
+  ++m_failures;
+  if (aFailure.m_code == base::ResultCode::HistoryGone) {
+    RestartListing();
+  }
+  const std::uint32_t doublings = std::min(m_failures - 1, kMaxDoublings);
+  const base::Duration pause =
+    std::min(m_timing.m_firstPause * (1U << doublings),
+             m_timing.m_longestPause);
+  std::uniform_int_distribution<base::Duration::rep> jitter(pause.count() / 2,
+                                                            pause.count());
+  const base::Duration chosen{ jitter(m_random) };
+  m_due = aNow + chosen;
+  m_events.OnCallFailed(aFailure, m_failures, chosen);
+}
+
+bool
+Reader::OnPeerFacts(const Page& aFacts, base::Instant aNow)
+{
+  if (aFacts.m_revision <= m_revision) {
+    return false;
+  }
+  std::set<std::pair<FactKind, std::string>> found;
+  for (const Fact& fact : aFacts.m_facts) {
+    found.emplace(fact.m_kind, fact.m_name);
+  }
+  Take(aFacts.m_facts, aNow);
+  m_beliefs.EndListing(aFacts.m_revision, found, aNow);
+  m_revision = aFacts.m_revision;
+  if (!m_inCall) {
+    m_listing = false;
+    m_after.clear();
+  }
+  return true;
+}
+
+void
+Reader::Hurry(base::Instant aNow)
+{
+  if (m_failures == 0) {
+    m_due = std::min(m_due, std::max(aNow, m_answeredAt + kHurryPause));
+  }
+}
+
+void
+Reader::Take(const std::vector<Fact>& aFacts, base::Instant aNow)
+{
+  for (const Fact& fact : aFacts) {
+    m_events.OnFact(fact, m_beliefs.Apply(fact, aNow));
+  }
+}
+
+void
+Reader::NoteAnswer(std::uint64_t aRevision, base::Instant aNow)
+{
+  m_answeredAt = aNow;
+  if (m_failures > 0 || !m_reached) {
+    m_events.OnReachable(aRevision);
+  }
+  m_failures = 0;
+  m_reached = true;
+}
+
+void
+Reader::RestartListing()
+{
+  m_listing = true;
+  m_after.clear();
+}
+
+} // namespace wasabiloom::registry
--- /dev/null
+++ b/src/wasabiloom/registry/Reader.h
@@ -0,0 +1,128 @@
+/// Decides which call to make on the registry, and when.
+#pragma once
+
+#include "wasabiloom/registry/Beliefs.h"
+#include "wasabiloom/registry/Source.h"
+
+#include <random>
+#include <set>
+
+namespace wasabiloom::registry {
+
+/// Waits of a reader.
+struct ReaderTiming
+{
+  /// Longest wait of one watch. Shorter than the time after which a host that
+  /// lost its connection must know the news again.
+  base::Duration m_watchWait = std::chrono::milliseconds(3500);
+  /// How long an answer may take beyond the wait that was asked for.
+  base::Duration m_answerTimeout = std::chrono::milliseconds(1200);
+  /// From one answer with changes to the next watch.
+  base::Duration m_pace = std::chrono::milliseconds(900);
+  /// First and longest pause after a failed call.
+  base::Duration m_firstPause = std::chrono::milliseconds(150);
+  base::Duration m_longestPause = std::chrono::milliseconds(1600);
+
+  friend auto operator<=>(const ReaderTiming&, const ReaderTiming&) = default;
+};
+
+/// What the reader asks its driver to do next.
+struct ReaderCall
+{
+  enum class Kind : std::uint8_t
+  {
+    None,
+    List,
+    Watch,
+  };
+
+  Kind m_kind = Kind::None;
+  std::string m_after;
+  std::uint64_t m_revision = 0;
+  base::Duration m_wait{ 0 };
+  base::Duration m_timeout{ 0 };
+};
+
+/// What the reader tells of itself.
+class ReaderEvents
+{
+public:
+  virtual ~ReaderEvents();
+
+  /// A fact came; the outcome says what became of it.
+  virtual void OnFact(const Fact& aFact, Outcome aOutcome) = 0;
+
+  /// A call failed; `aFailures` in a row, the next one after `aPause`.
+  virtual void OnCallFailed(const CallFailure& aFailure,
+                            std::uint32_t aFailures,
+                            base::Duration aPause) = 0;
+
+  /// A call succeeded after failures, or for the first time.
+  virtual void OnReachable(std::uint64_t aRevision) = 0;
+
+  /// A listing is complete.
+  virtual void OnListed(std::uint64_t aRevision, std::size_t aFacts) = 0;
+};
+
+/// Lists once, then watches; lists again when the history has gone. Makes one
+/// call at a time, paces watches that bring changes, backs off with jitter
+/// after failures. One thread at a time.
+class Reader
+{
+public:
+  /// The references must outlive the reader. `aSeed` differs between hosts.
+  Reader(const ReaderTiming& aTiming,
+         std::uint64_t aSeed,
+         Beliefs& aBeliefs,
+         ReaderEvents& aEvents);
+
+  /// The call that is due at `aNow`, if any. After it, exactly one of the
+  /// handlers below must be called before Next yields another one.
+  ReaderCall Next(base::Instant aNow);
+
+  void OnPage(const Page& aPage, base::Instant aNow);
+  void OnChanges(const Changes& aChanges, base::Instant aNow);
+  void OnFailure(const CallFailure& aFailure, base::Instant aNow);
+
+  /// Takes in what a peer believes at `aRevision`, unless the reader knows
+  /// newer. Returns whether it was of use.
+  bool OnPeerFacts(const Page& aFacts, base::Instant aNow);
+
+  /// Makes the next call due now, not earlier than `kHurryPause` after the
+  /// last answer.
+  void Hurry(base::Instant aNow);
+
+  /// Revision up to which all changes are known; 0 before the first listing.
+  std::uint64_t Revision() const { return m_revision; }
+
+  /// When the registry last answered.
+  base::Instant AnsweredAt() const { return m_answeredAt; }
+
+  /// Whether the last call failed.
+  bool IsFailing() const { return m_failures > 0; }
+
+private:
+  void Take(const std::vector<Fact>& aFacts, base::Instant aNow);
+  void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
+  void RestartListing();
+
+  ReaderTiming m_timing;
+  std::mt19937_64 m_random;
+  Beliefs& m_beliefs;
+  ReaderEvents& m_events;
+  bool m_listing = true;
+  bool m_inCall = false;
+  bool m_reached = false;
+  std::string m_after;
+  std::uint64_t m_listRevision = 0;
+  std::set<std::pair<FactKind, std::string>> m_found;
+  std::uint64_t m_revision = 0;
+  std::uint32_t m_failures = 0;
+  base::Instant m_due;
+  base::Instant m_answeredAt;
+};
+
+/// Least time between an answer and a call that was hurried.
+constexpr base::Duration kHurryPause = std::chrono::milliseconds(100);
+
+} // namespace wasabiloom::registry
--- a/src/wasabiloom/settings/HostSettings.cpp
+++ b/src/wasabiloom/settings/HostSettings.cpp
@@ -2,6 +2,7 @@
 
 #include "wasabiloom/jsonc/ObjectReader.h"
 #include "wasabiloom/jsonc/Parser.h"
+#include "wasabiloom/settings/LogLevels.h"
 
 #include <array>
 #include <map>
@@ -17,10 +18,6 @@
 using jsonc::ObjectReader;
 
 constexpr std::int64_t kMaxPort = 65535;
-constexpr std::array<std::string_view, 4> kLogLevels = { "info",
-                                                         "debug",
-                                                         "warn",
-                                                         "error" };
 
 struct PortField
 {
--- /dev/null
+++ b/src/wasabiloom/settings/TokenHostSettings.cpp
@@ -0,0 +1,110 @@
+#include "wasabiloom/settings/TokenHostSettings.h"
+
+#include "wasabiloom/jsonc/ObjectReader.h"
+#include "wasabiloom/jsonc/Parser.h"
+#include "wasabiloom/settings/LogLevels.h"
+
+namespace wasabiloom::settings {
+
+namespace {
+
+using base::Result;
+using base::ResultCode;
+using jsonc::Node;
+using jsonc::ObjectReader;
+
+constexpr std::int64_t kMaxPort = 65535;
+constexpr double kMaxMilliseconds = 3'600'000;
+constexpr double kDefaultZoneOutMs = 5000;
+constexpr double kDefaultInTouchMs = 4000;
+constexpr double kDefaultStopGraceMs = 6000;
+
+base::Duration
+Milliseconds(double aCount)
+{
+  return std::chrono::duration_cast<base::Duration>(
+    std::chrono::duration<double, std::milli>(aCount));
+}
+
+Result<std::vector<base::Endpoint>>
+ReadPeers(ObjectReader& aReader)
+{
+  BOOST_LEAF_AUTO(elements, aReader.Array("peers"));
+  std::vector<base::Endpoint> peers;
+  for (const Node& element : *elements) {
+    const auto* text = std::get_if<std::string>(&element.m_content);
+    const auto peer =
+      text == nullptr ? std::nullopt : base::ParseEndpoint(*text);
+    if (!peer) {
+      return jsonc::FailAt(element,
+                           ResultCode::JsonWrongType,
+                           "expected \"A.B.C.D:PORT\", found " +
+                             KindOf(element));
+    }
+    peers.push_back(*peer);
+  }
+  return peers;
+}
+
+Result<void>
+ReadBounds(ObjectReader& aReader, TokenHostSettings& aSettings)
+{
+  BOOST_LEAF_AUTO(
+    zoneOut,
+    aReader.NumberOr("zone_out_ms", 0, kMaxMilliseconds, kDefaultZoneOutMs));
+  BOOST_LEAF_AUTO(
+    inTouch,
+    aReader.NumberOr("in_touch_ms", 0, kMaxMilliseconds, kDefaultInTouchMs));
+  BOOST_LEAF_AUTO(
+    grace,
+    aReader.NumberOr(
+      "stop_grace_ms", 0, kMaxMilliseconds, kDefaultStopGraceMs));
+  aSettings.m_zoneOut = Milliseconds(zoneOut);
+  aSettings.m_inTouch = Milliseconds(inTouch);
+  aSettings.m_stopGrace = Milliseconds(grace);
+  return {};
+}
+
+Result<void>
+CheckPorts(const Node& aRoot, const TokenHostSettings& aSettings)
+{
+  const base::Endpoint peer{ aSettings.m_address, aSettings.m_peerPort };
+  const base::Endpoint metrics{ aSettings.m_address, aSettings.m_metricsPort };
+  if (aSettings.m_readiness == peer || aSettings.m_readiness == metrics ||
+      peer == metrics) {
+    return jsonc::FailAt(aRoot,
+                         ResultCode::JsonClash,
+                         "readiness, peer_port and metrics_port clash, "
+                         "expected different ports");
+  }
+  return {};
+}
+
+} // namespace
+
+Result<TokenHostSettings>
+ReadTokenHostSettings(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(root, jsonc::Parse(aText));
+  BOOST_LEAF_AUTO(reader, ObjectReader::Open(root));
+  TokenHostSettings settings;
+  BOOST_LEAF_ASSIGN(settings.m_name, reader.Text("name"));
+  BOOST_LEAF_ASSIGN(settings.m_zone, reader.Text("zone"));
+  BOOST_LEAF_ASSIGN(settings.m_address, reader.AddressAt("address"));
+  BOOST_LEAF_ASSIGN(settings.m_packets, reader.EndpointAt("packets"));
+  BOOST_LEAF_ASSIGN(settings.m_readiness, reader.EndpointAt("readiness"));
+  BOOST_LEAF_ASSIGN(settings.m_registry, reader.EndpointAt("registry"));
+  BOOST_LEAF_ASSIGN(settings.m_peers, ReadPeers(reader));
+  BOOST_LEAF_AUTO(peerPort, reader.Integer("peer_port", 1, kMaxPort));
+  BOOST_LEAF_AUTO(metricsPort, reader.IntegerOr("metrics_port", 0, kMaxPort, 0));
+  settings.m_peerPort = static_cast<std::uint16_t>(peerPort);
+  settings.m_metricsPort = static_cast<std::uint16_t>(metricsPort);
+  BOOST_LEAF_CHECK(ReadBounds(reader, settings));
+  BOOST_LEAF_AUTO(level, reader.ChoiceOrFirst("log_level", kLogLevels));
+  settings.m_logLevel = kLogLevels.at(level);
+  BOOST_LEAF_CHECK(reader.Finish());
+  BOOST_LEAF_CHECK(CheckPorts(root, settings));
+  return settings;
+}
+
+} // namespace wasabiloom::settings
--- /dev/null
+++ b/src/wasabiloom/token/Decision.cpp
@@ -0,0 +1,34 @@
+#include "wasabiloom/token/Decision.h"
+
+namespace wasabiloom::token {
+
+namespace {
+
+constexpr std::array<std::string_view, kReasons> kReasonNames = {
+  "placed_least_flows", "placed_only_cold", "placed_only_suspect",
+  "placed_again",       "same_as_before",   "token_known",
+  "not_learned_yet",    "no_route",         "route_dropped",
+  "no_server",          "token_unknown",    "server_gone",
+  "zone_out",           "hold_full",        "malformed",
+};
+
+constexpr std::array<std::string_view, 4> kActionNames = { "deliver",
+                                                           "reset",
+                                                           "hold",
+                                                           "drop" };
+
+} // namespace
+
+std::string_view
+ToString(Action aAction)
+{
+  return kActionNames.at(static_cast<std::size_t>(aAction));
+}
+
+std::string_view
+ToString(Reason aReason)
+{
+  return kReasonNames.at(static_cast<std::size_t>(aReason));
+}
+
+} // namespace wasabiloom::token
