Load counted by requests under way; zones kept by distance

Change: load is requests under way for each slot, open flows count 0.05 each, a server that answers slower than 1.5 times the median counts as fuller, other zones as 1.2 fuller. Ruled out: too few servers in the own zone (cross share was the same in calm seconds).

--- a/src/wasabiloom/placing/Placer.cpp
+++ b/src/wasabiloom/placing/Placer.cpp
@@ -4,17 +4,45 @@
 
 #include <algorithm>
 #include <tuple>
+#include <vector>
 
 namespace wasabiloom::placing {
 
 namespace {
 
+/// Median of the answer times that are known; zero when none is.
+base::Duration
+MedianLatency(std::span<const Candidate> aCandidates)
+{
+  std::vector<base::Duration> known;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.m_latency > base::Duration::zero()) {
+      known.push_back(candidate.m_latency);
+    }
+  }
+  if (known.empty()) {
+    return base::Duration::zero();
+  }
+  const auto middle =
+    known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
 double
-LoadOf(const Candidate& aCandidate)
+LoadOf(const Candidate& aCandidate, base::Duration aMedian)
 {
   const double slots = std::max<std::uint32_t>(aCandidate.m_slots, 1);
+  const double requests =
+    aCandidate.m_busy + kOpenFlowLoad * aCandidate.m_open;
+  double behind = 0;
+  if (aMedian > base::Duration::zero()) {
+    const double multiple = static_cast<double>(aCandidate.m_latency.count()) /
+                            static_cast<double>(aMedian.count());
+    behind = std::max(0.0, multiple - kOrdinaryLatency);
+  }
   const double distance = aCandidate.m_sameZone ? 0 : kZoneDistance;
-  return aCandidate.m_flows / slots + distance;
+  return requests / slots + behind + distance;
 }
 
 PlaceReason
@@ -23,7 +51,7 @@
   if (aChosen.m_suspect) {
     return PlaceReason::OnlySuspect;
   }
-  return aChosen.m_cold ? PlaceReason::OnlyCold : PlaceReason::LeastFlows;
+  return aChosen.m_cold ? PlaceReason::OnlyCold : PlaceReason::LeastLoad;
 }
 
 } // namespace
@@ -33,11 +61,12 @@
       std::uint32_t aAvoid,
       std::uint64_t aHash)
 {
+  const base::Duration median = MedianLatency(aCandidates);
   const auto rank = [&](const Candidate& aCandidate) {
     return std::tuple(aCandidate.m_token == aAvoid,
                       aCandidate.m_suspect,
                       aCandidate.m_cold,
-                      LoadOf(aCandidate),
+                      LoadOf(aCandidate, median),
                       base::Combine(aHash, aCandidate.m_token));
   };
   const auto best = std::ranges::min_element(aCandidates, {}, rank);
@@ -51,8 +80,8 @@
 ToString(PlaceReason aReason)
 {
   switch (aReason) {
-    case PlaceReason::LeastFlows:
-      return "least_flows";
+    case PlaceReason::LeastLoad:
+      return "least_load";
     case PlaceReason::OnlyCold:
       return "only_cold";
     case PlaceReason::OnlySuspect:
--- a/src/wasabiloom/placing/Placer.h
+++ b/src/wasabiloom/placing/Placer.h
@@ -15,8 +15,12 @@
 {
   std::uint32_t m_token = 0;
   /// Flows of this host that are open there.
-  std::uint32_t m_flows = 0;
+  std::uint32_t m_open = 0;
+  /// Those of them with a request under way.
+  std::uint32_t m_busy = 0;
   std::uint32_t m_slots = 1;
+  /// Lately measured answer time; zero when there is none.
+  base::Duration m_latency{ 0 };
   bool m_sameZone = false;
   bool m_cold = false;
   /// Callers' packets or its missing entry speak against it.
@@ -28,7 +32,7 @@
 /// Why a candidate was chosen.
 enum class PlaceReason : std::uint8_t
 {
-  LeastFlows,
+  LeastLoad,
   /// All that are left are cold.
   OnlyCold,
   /// All that are left are suspect.
@@ -39,19 +43,26 @@
 struct Placement
 {
   std::uint32_t m_token = 0;
-  PlaceReason m_reason = PlaceReason::LeastFlows;
+  PlaceReason m_reason = PlaceReason::LeastLoad;
 
   friend auto operator<=>(const Placement&, const Placement&) = default;
 };
 
-/// Flows for each slot that a server of the own zone must hold more than one
-/// of another zone before the other one is chosen.
-constexpr double kZoneDistance = 3.0;
+/// Load is counted in requests for each slot. An open flow without a request
+/// counts for little, and a server that answers slower than most counts as
+/// fuller by the answer times it is behind.
+constexpr double kOpenFlowLoad = 0.05;
+
+/// Answer times up to this multiple of the median are ordinary scatter.
+constexpr double kOrdinaryLatency = 1.5;
+
+/// How much fuller a server of the own zone must be before one of another
+/// zone is chosen: what crosses zones is lost when they are cut off.
+constexpr double kZoneDistance = 1.2;
 
 /// Chooses among `aCandidates`: not suspect before suspect, warm before cold,
-/// then the fewest open flows for each slot, where another zone counts as
-/// kZoneDistance more; ties fall by `aHash`, so that hosts which know the same
-/// spread differently. `aAvoid` is left out while there is another one; 0 for
+/// then the least load, where another zone counts as kZoneDistance more; ties
+/// fall by `aHash`, so that hosts which know the same spread differently. `aAvoid` is left out while there is another one; 0 for
 /// none. Empty when there is no candidate. Thread safe.
 std::optional<Placement>
 Place(std::span<const Candidate> aCandidates,
--- a/src/wasabiloom/token/Decision.h
+++ b/src/wasabiloom/token/Decision.h
@@ -24,7 +24,7 @@
 /// Why. Entries of ReasonNames stand in the same order.
 enum class Reason : std::uint8_t
 {
-  PlacedLeastFlows,
+  PlacedLeastLoad,
   PlacedOnlyCold,
   PlacedOnlySuspect,
   PlacedAgain,
--- a/src/wasabiloom/token/FlowMemory.cpp
+++ b/src/wasabiloom/token/FlowMemory.cpp
@@ -30,9 +30,23 @@
   if (aRecord.m_token == aToken) {
     return;
   }
-  Uncount(aRecord.m_token);
+  Uncount(aRecord);
   aRecord.m_token = aToken;
-  ++m_counts[aToken];
+  ServerFlows& count = m_counts[aToken];
+  ++count.m_open;
+  count.m_busy += aRecord.m_busy ? 1 : 0;
+}
+
+void
+FlowMemory::SetBusy(FlowRecord& aRecord, bool aBusy, base::Instant aNow)
+{
+  if (aRecord.m_busy == aBusy) {
+    return;
+  }
+  aRecord.m_busy = aBusy;
+  aRecord.m_requestAt = aNow;
+  ServerFlows& count = m_counts[aRecord.m_token];
+  count.m_busy += aBusy ? 1U : -1U;
 }
 
 void
@@ -47,15 +61,19 @@
 FlowMemory::Flows::iterator
 FlowMemory::Erase(Flows::iterator aFlow)
 {
-  Uncount(aFlow->second.m_token);
+  Uncount(aFlow->second);
   return m_flows.erase(aFlow);
 }
 
 void
-FlowMemory::Uncount(std::uint32_t aToken)
+FlowMemory::Uncount(const FlowRecord& aRecord)
 {
-  const auto count = m_counts.find(aToken);
-  if (count != m_counts.end() && --count->second == 0) {
+  const auto count = m_counts.find(aRecord.m_token);
+  if (count == m_counts.end()) {
+    return;
+  }
+  count->second.m_busy -= aRecord.m_busy ? 1 : 0;
+  if (--count->second.m_open == 0) {
     m_counts.erase(count);
   }
 }
@@ -69,11 +87,11 @@
   }
 }
 
-std::uint32_t
+ServerFlows
 FlowMemory::CountAt(std::uint32_t aToken) const
 {
   const auto count = m_counts.find(aToken);
-  return count == m_counts.end() ? 0 : count->second;
+  return count == m_counts.end() ? ServerFlows{} : count->second;
 }
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/FlowMemory.h
+++ b/src/wasabiloom/token/FlowMemory.h
@@ -20,10 +20,22 @@
   bool m_answered = false;
   /// Whether the first packet that could not be delivered was reported.
   bool m_reported = false;
+  /// Whether a request is under way, and since when.
+  bool m_busy = false;
+  base::Instant m_requestAt;
   base::Instant m_seenAt;
   base::Instant m_firstSeenAt;
 };
 
+/// Flows at one backend server.
+struct ServerFlows
+{
+  std::uint32_t m_open = 0;
+  std::uint32_t m_busy = 0;
+
+  friend auto operator<=>(const ServerFlows&, const ServerFlows&) = default;
+};
+
 /// Bounded memory of flows. One thread at a time.
 class FlowMemory
 {
@@ -38,6 +50,9 @@
   /// Moves a flow to the server that `aToken` names.
   void Assign(FlowRecord& aRecord, std::uint32_t aToken);
 
+  /// Says whether a request of the flow is under way since `aNow`.
+  void SetBusy(FlowRecord& aRecord, bool aBusy, base::Instant aNow);
+
   /// Forgets a flow.
   void Erase(const packet::FlowKey& aFlow);
 
@@ -45,7 +60,7 @@
   void Sweep(base::Duration aIdle, base::Instant aNow);
 
   /// Flows remembered at the server that `aToken` names.
-  std::uint32_t CountAt(std::uint32_t aToken) const;
+  ServerFlows CountAt(std::uint32_t aToken) const;
 
   std::size_t Size() const { return m_flows.size(); }
 
@@ -61,10 +76,10 @@
   using Flows = std::unordered_map<packet::FlowKey, FlowRecord, FlowHash>;
 
   Flows::iterator Erase(Flows::iterator aFlow);
-  void Uncount(std::uint32_t aToken);
+  void Uncount(const FlowRecord& aRecord);
 
   Flows m_flows;
-  std::unordered_map<std::uint32_t, std::uint32_t> m_counts;
+  std::unordered_map<std::uint32_t, ServerFlows> m_counts;
 };
 
 /// Most flows that one host remembers.
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -19,14 +19,14 @@
 ReasonOf(placing::PlaceReason aReason)
 {
   switch (aReason) {
-    case placing::PlaceReason::LeastFlows:
-      return Reason::PlacedLeastFlows;
+    case placing::PlaceReason::LeastLoad:
+      return Reason::PlacedLeastLoad;
     case placing::PlaceReason::OnlyCold:
       return Reason::PlacedOnlyCold;
     case placing::PlaceReason::OnlySuspect:
       return Reason::PlacedOnlySuspect;
   }
-  return Reason::PlacedLeastFlows;
+  return Reason::PlacedLeastLoad;
 }
 
 /// Whether `aLater` comes after `aEarlier` among numbers that wrap around.
@@ -242,8 +242,14 @@
   } else if (repeats) {
     m_suspicion.OnStall(aPacket.m_token, aNow);
   }
+  if (heard && aRecord.m_busy) {
+    m_latencies.Observe(aPacket.m_token, aNow - aRecord.m_requestAt, aNow);
+    m_flows.SetBusy(aRecord, false, aNow);
+  }
   if (isFirst || IsAfter(aPacket.m_sequence, aRecord.m_sequence)) {
     aRecord.m_sequence = aPacket.m_sequence;
+    m_flows.SetBusy(
+      aRecord, aPacket.m_payloadBytes > 0 && !aPacket.m_closes, aNow);
   }
   aRecord.m_answered = true;
   aRecord.m_seenAt = aNow;
@@ -276,7 +282,10 @@
     }
     placing::Candidate candidate;
     candidate.m_token = server->m_token;
-    candidate.m_flows = m_flows.CountAt(server->m_token);
+    const ServerFlows count = m_flows.CountAt(server->m_token);
+    candidate.m_open = count.m_open;
+    candidate.m_busy = count.m_busy;
+    candidate.m_latency = m_latencies.At(server->m_token, aNow);
     candidate.m_slots = server->m_server.m_slots;
     candidate.m_sameZone = server->m_server.m_zone == m_identity.m_zone;
     candidate.m_cold = aNow < server->m_coldUntil;
@@ -452,6 +461,7 @@
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
     m_flows.Sweep(kLoadIdle, aNow);
+    m_latencies.Sweep(aNow);
   }
 }
 
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -1,6 +1,7 @@
 /// The entry host under the token policy, without sockets, threads or clocks.
 #pragma once
 
+#include "wasabiloom/placing/LatencyBook.h"
 #include "wasabiloom/placing/Placer.h"
 #include "wasabiloom/placing/Suspicion.h"
 #include "wasabiloom/registry/Reader.h"
@@ -154,6 +155,7 @@
   registry::Beliefs m_beliefs;
   registry::Reader m_reader;
   placing::Suspicion m_suspicion;
+  placing::LatencyBook m_latencies;
   FlowMemory m_flows;
   std::deque<Held> m_held;
   Totals m_totals;
