--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -41,6 +41,7 @@
 {
   return { aSettings.m_name,
            aSettings.m_zone,
+           aSettings.m_packets.m_port,
            aSettings.m_zoneOut * kBoundUsed / kBoundParts };
 }
 
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -90,7 +90,8 @@
     ++m_totals.m_dropped;
     return;
   }
-  if (!IsReady()) {
+  NotePause(aNow);
+  if (!IsReady() || (parsed.m_packet.m_opens && DoubtsItself(aNow))) {
     Hold(aBytes, parsed.m_packet, aNow);
   } else if (parsed.m_packet.m_opens) {
     Open(aBytes, parsed.m_packet, aNow);
@@ -116,10 +117,31 @@
   Record(decision, aPacket.m_opens);
 }
 
+void
+TokenHost::NotePause(base::Instant aNow)
+{
+  const bool isFirst = m_ranAt == base::Instant{};
+  if (!isFirst && aNow - m_ranAt > kPauseLimit) {
+    m_wokeAt = aNow;
+    m_reader.Hurry(aNow);
+    const auto gap =
+      std::chrono::duration_cast<std::chrono::milliseconds>(aNow - m_ranAt);
+    m_effects.LogBelief("woke_from_pause",
+                        "gap_ms=" + std::to_string(gap.count()));
+  }
+  m_ranAt = aNow;
+}
+
+bool
+TokenHost::DoubtsItself(base::Instant aNow) const
+{
+  return aNow - m_wokeAt < kWakeDoubt && m_reader.AnsweredAt() < m_wokeAt;
+}
+
 void
 TokenHost::ReleaseHeld(base::Instant aNow)
 {
-  if (!IsReady()) {
+  if (!IsReady() || DoubtsItself(aNow)) {
     return;
   }
   std::deque<Held> held;
@@ -339,7 +361,9 @@
   }
   std::array<std::byte, packet::kMaxTokenDatagram> out;
   const std::size_t length = m_codec.WriteReset(aPacket, out);
-  m_effects.Send(aPacket.m_flow.m_caller, std::span(out).first(length));
+  const base::Endpoint back{ aPacket.m_flow.m_caller.m_address,
+                             m_identity.m_returnPort };
+  m_effects.Send(back, std::span(out).first(length));
 }
 
 void
@@ -456,6 +480,7 @@
 void
 TokenHost::OnTick(base::Instant aNow)
 {
+  NotePause(aNow);
   m_beliefs.Tick(aNow);
   ReleaseHeld(aNow);
   if (aNow - m_sweptAt > kSweepInterval) {
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -20,6 +20,8 @@
 {
   std::string m_name;
   std::string m_zone;
+  /// Port at which callers' machines take packets.
+  std::uint16_t m_returnPort = 0;
   /// Packets of open flows reach a zone for so long after it was taken out.
   base::Duration m_zoneOutGrace = std::chrono::seconds(4);
 
@@ -31,6 +33,12 @@
 constexpr std::size_t kMaxHeld = 256;
 constexpr base::Duration kHoldTime = std::chrono::milliseconds(1000);
 
+/// A process that did not run for this long doubts what it knows.
+constexpr base::Duration kPauseLimit = std::chrono::milliseconds(1000);
+
+/// New flows wait at most so long for news after a pause.
+constexpr base::Duration kWakeDoubt = std::chrono::milliseconds(400);
+
 /// A flow whose token leads nowhere is reset when nothing came to explain the
 /// token for so long.
 constexpr base::Duration kUnknownTokenGrace = std::chrono::seconds(3);
@@ -123,6 +131,8 @@
             const packet::TokenPacket& aPacket,
             base::Instant aNow);
   void ReleaseHeld(base::Instant aNow);
+  void NotePause(base::Instant aNow);
+  bool DoubtsItself(base::Instant aNow) const;
   void Open(std::span<const std::byte> aBytes,
             const packet::TokenPacket& aPacket,
             base::Instant aNow);
@@ -160,6 +170,8 @@
   std::deque<Held> m_held;
   Totals m_totals;
   base::Instant m_sweptAt;
+  base::Instant m_ranAt;
+  base::Instant m_wokeAt;
 };
 
 /// Service of `aRoute` that takes the flow with hash `aHash`, by weight; empty
