Hosts that start without the registry learn from peers

Change: a host that is not ready, or had no answer for 0.6 s, asks the hosts of its settings for their facts (CBOR over HTTP, only what is newer).

--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -2,6 +2,9 @@
 
 #include "wasabiloom/daemon/BufferedLog.h"
 #include "wasabiloom/daemon/Clock.h"
+#include "wasabiloom/registry/FactsCodec.h"
+
+#include <charconv>
 
 namespace wasabiloom::daemon {
 
@@ -21,6 +24,11 @@
 constexpr base::Duration kLeaveMargin = std::chrono::milliseconds(700);
 
 constexpr base::Duration kReportInterval = std::chrono::seconds(1);
+
+/// A host that the registry has not answered for so long asks its peers.
+constexpr base::Duration kAskPeersAfter = std::chrono::milliseconds(600);
+
+constexpr int kNoNews = 204;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
@@ -45,6 +53,19 @@
            aSettings.m_zoneOut * kBoundUsed / kBoundParts };
 }
 
+/// Where peers tell their facts; the host itself is left out.
+std::vector<base::Endpoint>
+PeersOf(const settings::TokenHostSettings& aSettings)
+{
+  std::vector<base::Endpoint> peers;
+  for (const base::Endpoint& peer : aSettings.m_peers) {
+    if (peer.m_address != aSettings.m_address) {
+      peers.push_back({ peer.m_address, aSettings.m_peerPort });
+    }
+  }
+  return peers;
+}
+
 std::int64_t
 Milliseconds(base::Duration aSpan)
 {
@@ -64,8 +85,13 @@
            NewIncarnation(),
            aAdapter.m_codec,
            *this)
+  , m_peers([this](const registry::Page& aFacts) {
+    m_host.OnPeerFacts(aFacts, Now());
+    NoteReady();
+  })
   , m_server([this](const std::string& aPath) { return Answer(aPath); })
 {
+  m_peers.SetPeers(PeersOf(m_settings));
   m_timer.setInterval(kTick);
   connect(&m_timer, &QTimer::timeout, this, [this] { OnTick(); });
 }
@@ -77,6 +103,7 @@
 {
   m_startedAt = Now();
   MakeCall(m_startedAt);
+  m_peers.Ask(0, m_startedAt);
   BOOST_LEAF_ASSIGN(m_socket, UdpSocket::Bind(m_settings.m_packets));
   m_notifier = std::make_unique<QSocketNotifier>(m_socket->Descriptor(),
                                                  QSocketNotifier::Read);
@@ -104,6 +131,7 @@
   changed.m_logLevel = aSettings.m_logLevel;
   const bool isWhole = changed == aSettings;
   m_settings = changed;
+  m_peers.SetPeers(PeersOf(m_settings));
   m_host.SetZoneOutGrace(IdentityOf(m_settings).m_zoneOutGrace);
   SetUpBufferedLog(m_settings.m_logLevel, m_log);
   LogLine(isWhole ? LogLevel::Info : LogLevel::Warn,
@@ -155,6 +183,7 @@
   const base::Instant now = Now();
   m_host.OnTick(now);
   MakeCall(now);
+  AskPeers(now);
   ReportMalformed(now);
   if (m_onStopped) {
     ContinueLeave(now);
@@ -197,6 +226,14 @@
   }
 }
 
+void
+TokenHostTask::AskPeers(base::Instant aNow)
+{
+  if (!m_host.IsReady() || m_host.IsCutOff(kAskPeersAfter, aNow)) {
+    m_peers.Ask(m_host.Revision(), aNow);
+  }
+}
+
 void
 TokenHostTask::NoteReady()
 {
@@ -220,9 +257,30 @@
   if (aPath == "/metrics") {
     return { 200, "text/plain; version=0.0.4", m_metrics.Write(m_host) };
   }
+  if (aPath.starts_with(kFactsPath)) {
+    return TellFacts(aPath);
+  }
   return { kNotFound, "text/plain", "" };
 }
 
+HttpReply
+TokenHostTask::TellFacts(const std::string& aPath) const
+{
+  constexpr std::string_view kAfter = "?after=";
+  std::uint64_t after = 0;
+  const std::size_t at = aPath.find(kAfter);
+  if (at != std::string::npos) {
+    const char* first = aPath.data() + at + kAfter.size();
+    std::from_chars(first, aPath.data() + aPath.size(), after);
+  }
+  if (!m_host.IsReady() || m_host.Revision() <= after) {
+    return { kNoNews, "text/plain", "" };
+  }
+  return { 200,
+           "application/cbor",
+           registry::EncodeFacts(m_host.FactsForPeer()) };
+}
+
 void
 TokenHostTask::Send(const base::Endpoint& aTo, std::span<const std::byte> aBytes)
 {
--- a/src/wasabiloom/daemon/TokenHostTask.h
+++ b/src/wasabiloom/daemon/TokenHostTask.h
@@ -3,6 +3,7 @@
 
 #include "wasabiloom/daemon/HttpServer.h"
 #include "wasabiloom/daemon/LineBuffer.h"
+#include "wasabiloom/daemon/PeerFacts.h"
 #include "wasabiloom/daemon/TokenMetrics.h"
 #include "wasabiloom/daemon/UdpSocket.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
@@ -62,7 +63,9 @@
   void MakeCall(base::Instant aNow);
   void NoteReady();
   void ContinueLeave(base::Instant aNow);
+  void AskPeers(base::Instant aNow);
   HttpReply Answer(const std::string& aPath);
+  HttpReply TellFacts(const std::string& aPath) const;
   void ReportMalformed(base::Instant aNow);
 
   settings::TokenHostSettings m_settings;
@@ -70,6 +73,7 @@
   LineBuffer& m_log;
   token::TokenHost m_host;
   TokenMetrics m_metrics;
+  PeerFacts m_peers;
   HttpServer m_server;
   std::unique_ptr<UdpSocket> m_socket;
   std::unique_ptr<QSocketNotifier> m_notifier;
