Tests of the token policy, the registry reader and the adapter's decoders

Nested sections for each unit, property tests for every decoder; the placing test plays two blind hosts at two thirds of the load and holds 1.08.

--- /dev/null
+++ b/tests/unit/BeliefsTests.cpp
@@ -0,0 +1,221 @@
+#include "support/Registry.h"
+#include "support/Section.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace wasabiloom::tests {
+
+using registry::Beliefs;
+using registry::FactKind;
+using registry::MakeToken;
+using registry::Outcome;
+using registry::Presence;
+using registry::ServerState;
+
+namespace {
+
+registry::Server
+Draining(registry::Server aServer)
+{
+  aServer.m_state = ServerState::Draining;
+  return aServer;
+}
+
+const registry::ServerBelief&
+Find(const Beliefs& aBeliefs, const registry::Server& aServer)
+{
+  const auto* belief =
+    aBeliefs.FindToken(MakeToken(aServer.m_id, aServer.m_born));
+  EXPECT_NE(belief, nullptr);
+  return *belief;
+}
+
+} // namespace
+
+TEST(Beliefs, AreCompleteWithConfigurationAndListing)
+{
+  Beliefs beliefs;
+  EXPECT_FALSE(beliefs.IsComplete());
+  beliefs.EndListing(1, {}, At(0));
+  EXPECT_FALSE(beliefs.IsComplete());
+  beliefs.Apply(ConfigurationFact(2, 3), At(1));
+  EXPECT_TRUE(beliefs.IsComplete());
+}
+
+TEST(Beliefs, NeverGoBack)
+{
+  Beliefs beliefs;
+  EXPECT_EQ(beliefs.Apply(ConfigurationFact(5, 9), At(0)), Outcome::Adopted);
+  Section("to an older configuration, whatever its revision", [&] {
+    EXPECT_EQ(beliefs.Apply(ConfigurationFact(4, 10), At(1)), Outcome::Stale);
+    EXPECT_EQ(beliefs.InForce().m_version, 5U);
+  });
+  Section("to an older entry", [&] {
+    const auto server = MakeServer("i-1");
+    beliefs.Apply(ServerFact(Draining(server), 12), At(1));
+    EXPECT_EQ(beliefs.Apply(ServerFact(server, 11), At(2)), Outcome::Stale);
+    EXPECT_EQ(Find(beliefs, server).m_server.m_state, ServerState::Draining);
+  });
+  Section("to a zone that was in service before", [&] {
+    beliefs.Apply(ZoneOutFact("a", 14), At(1));
+    EXPECT_EQ(beliefs.Apply(RemovedFact(FactKind::ZoneOut, "a", 13), At(2)),
+              Outcome::Stale);
+    EXPECT_TRUE(beliefs.ZoneOutSince("a"));
+  });
+  Section("to a configuration that can't be read", [&] {
+    const registry::Fact junk{
+      FactKind::Configuration, "", 20, registry::Unusable{ "junk" }
+    };
+    EXPECT_EQ(beliefs.Apply(junk, At(3)), Outcome::SetAside);
+    EXPECT_NE(beliefs.FindRoute(*base::ParseEndpoint("198.18.0.1:443")),
+              nullptr);
+  });
+}
+
+TEST(Beliefs, KeepAServersTokenWhileItMayLive)
+{
+  Beliefs beliefs;
+  const auto server = MakeServer("i-1");
+  beliefs.Apply(ServerFact(server, 2), At(0));
+
+  Section("an entry that goes without a farewell lapses", [&] {
+    beliefs.Apply(RemovedFact(FactKind::Server, "i-1", 3), At(1));
+    EXPECT_EQ(Find(beliefs, server).m_presence, Presence::Lapsed);
+    EXPECT_EQ(beliefs.ServersOf("desk").size(), 1U);
+  });
+  Section("and may come back", [&] {
+    beliefs.Apply(ServerFact(server, 4), At(2));
+    EXPECT_EQ(Find(beliefs, server).m_presence, Presence::Listed);
+  });
+  Section("or is gone after the grace", [&] {
+    beliefs.Apply(RemovedFact(FactKind::Server, "i-1", 5), At(3));
+    beliefs.Tick(At(5));
+    EXPECT_EQ(Find(beliefs, server).m_presence, Presence::Lapsed);
+    beliefs.Tick(At(6));
+    EXPECT_EQ(Find(beliefs, server).m_presence, Presence::Gone);
+    EXPECT_TRUE(beliefs.ServersOf("desk").empty());
+  });
+  Section("and is forgotten when no flow can be left", [&] {
+    beliefs.Tick(At(100));
+    EXPECT_EQ(beliefs.FindToken(MakeToken("i-1", 1)), nullptr);
+  });
+}
+
+TEST(Beliefs, LetGoAtOnceOfAServerThatSaidFarewell)
+{
+  Beliefs beliefs;
+  const auto server = MakeServer("i-1");
+  beliefs.Apply(ServerFact(Draining(server), 2), At(0));
+  beliefs.Apply(RemovedFact(FactKind::Server, "i-1", 3), At(1));
+  EXPECT_EQ(Find(beliefs, server).m_presence, Presence::Gone);
+}
+
+TEST(Beliefs, TellStartsUnderOneIdApart)
+{
+  Beliefs beliefs;
+  const auto first = MakeServer("i-1", "a", 100);
+  const auto second = MakeServer("i-1", "a", 200);
+  beliefs.Apply(ServerFact(first, 2), At(0));
+  beliefs.Apply(ServerFact(second, 3), At(1));
+  EXPECT_EQ(Find(beliefs, first).m_presence, Presence::Replaced);
+  EXPECT_EQ(Find(beliefs, second).m_presence, Presence::Listed);
+  ASSERT_EQ(beliefs.ServersOf("desk").size(), 1U);
+  EXPECT_EQ(beliefs.ServersOf("desk")[0]->m_server.m_born, 200U);
+}
+
+TEST(Beliefs, RemoveWhatAListingDoesNotFind)
+{
+  Beliefs beliefs;
+  const auto old = MakeServer("i-1");
+  const auto found = MakeServer("i-2");
+  const auto newer = MakeServer("i-3");
+  beliefs.Apply(ServerFact(old, 2), At(0));
+  beliefs.Apply(ServerFact(found, 3), At(0));
+  beliefs.Apply(ZoneOutFact("a", 4), At(0));
+  beliefs.Apply(ServerFact(newer, 12), At(0));
+  // The listing began at revision 10: what is newer was not yet there.
+  beliefs.EndListing(10, { { FactKind::Server, "i-2" } }, At(1));
+  EXPECT_EQ(Find(beliefs, old).m_presence, Presence::Lapsed);
+  EXPECT_EQ(Find(beliefs, found).m_presence, Presence::Listed);
+  EXPECT_EQ(Find(beliefs, newer).m_presence, Presence::Listed);
+  EXPECT_FALSE(beliefs.ZoneOutSince("a"));
+}
+
+TEST(Beliefs, HarmNoOtherEntryBySettingOneAside)
+{
+  Beliefs beliefs;
+  beliefs.Apply(ServerFact(MakeServer("i-1"), 2), At(0));
+  const registry::Fact junk{
+    FactKind::Server, "i-9", 3, registry::Unusable{ "junk" }
+  };
+  EXPECT_EQ(beliefs.Apply(junk, At(1)), Outcome::SetAside);
+  EXPECT_EQ(beliefs.ServersOf("desk").size(), 1U);
+
+  Section("an entry overwritten with junk takes no new flow for long", [&] {
+    const registry::Fact over{
+      FactKind::Server, "i-1", 4, registry::Unusable{ "junk" }
+    };
+    beliefs.Apply(over, At(2));
+    beliefs.Tick(At(6));
+    EXPECT_TRUE(beliefs.ServersOf("desk").empty());
+  });
+}
+
+TEST(Beliefs, GiveTheSameTokensInAnyOrder)
+{
+  // Ids are searched whose tokens clash, as 32 bits allow.
+  std::map<std::uint32_t, std::uint64_t> seen;
+  std::string first;
+  std::string second;
+  for (std::uint64_t i = 0; second.empty(); ++i) {
+    const std::string id = "i-" + std::to_string(i);
+    const auto [known, isNew] = seen.try_emplace(MakeToken(id, 1), i);
+    if (!isNew) {
+      first = "i-" + std::to_string(known->second);
+      second = id;
+    }
+  }
+  std::vector<std::vector<std::string>> owners;
+  for (const auto& order : { std::vector{ first, second },
+                             std::vector{ second, first } }) {
+    Beliefs beliefs;
+    std::uint64_t revision = 1;
+    for (const std::string& id : order) {
+      beliefs.Apply(ServerFact(MakeServer(id), ++revision), At(0));
+    }
+    std::vector<std::string> takes;
+    for (const auto* server : beliefs.ServersOf("desk")) {
+      if (!server->m_clashes) {
+        takes.push_back(server->m_server.m_id);
+        EXPECT_EQ(beliefs.FindToken(server->m_token), server);
+      }
+    }
+    owners.push_back(takes);
+  }
+  EXPECT_EQ(owners[0], owners[1]);
+  EXPECT_EQ(owners[0].size(), 1U);
+}
+
+TEST(Beliefs, TravelToAnotherHost)
+{
+  Beliefs here;
+  here.Apply(ConfigurationFact(5, 2), At(0));
+  here.Apply(ServerFact(MakeServer("i-1"), 3), At(0));
+  here.Apply(ServerFact(MakeServer("i-2"), 4), At(0));
+  here.Apply(RemovedFact(FactKind::Server, "i-2", 5), At(0));
+  here.Apply(ZoneOutFact("b", 6), At(0));
+  here.EndListing(6,
+                  { { FactKind::Server, "i-1" }, { FactKind::ZoneOut, "b" } },
+                  At(0));
+  Beliefs there;
+  for (const auto& fact : here.ToFacts()) {
+    there.Apply(fact, At(0));
+  }
+  EXPECT_EQ(there.InForce(), here.InForce());
+  EXPECT_EQ(there.ServersOf("desk").size(), 1U);
+  EXPECT_TRUE(there.ZoneOutSince("b"));
+}
+
+} // namespace wasabiloom::tests
--- /dev/null
+++ b/tests/unit/FactDecoderTests.cpp
@@ -0,0 +1,234 @@
+#include "platform/FactDecoder.h"
+#include "support/Section.h"
+
+#include <QByteArray>
+#include <gmock/gmock.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+namespace wasabiloom::tests {
+
+using base::ResultCode;
+using nlohmann::json;
+using platform::DecodeRange;
+using platform::DecodeValue;
+using platform::DecodeWatch;
+using registry::FactKind;
+using testing::HasSubstr;
+
+namespace {
+
+json
+Entry()
+{
+  return { { "Service", "desk" },
+           { "Address", "10.128.0.9:8080" },
+           { "Zone", "borgarnes" },
+           { "Version", "v1" },
+           { "Slots", 2 },
+           { "State", "ready" },
+           { "ColdRemainingMs", 1500 },
+           { "Sequence", 4 },
+           { "born", 1768772581052 } };
+}
+
+json
+Config()
+{
+  return json::parse(R"({"Version":7,"Routes":[
+    {"Name":"r-a","Host":"198.18.0.1","Prefix":"/8443/","Kind":"safe",
+     "Split":[{"Service":"desk","Weight":90},{"Service":"vault","Weight":10}]},
+    {"Name":"r-b","Host":"198.18.0.2","Prefix":"/8443/","Service":"vault"}],
+    "Services":[{"Name":"desk","ColdPerS":4.5},{"Name":"vault"}],
+    "Limits":{"IdleTimeoutMs":15000}})");
+}
+
+std::string
+Base64(const std::string& aText)
+{
+  return QByteArray::fromStdString(aText).toBase64().toStdString();
+}
+
+json
+Item(const std::string& aKey, const std::string& aValue, int aRevision)
+{
+  return { { "Key", aKey },
+           { "Value", Base64(aValue) },
+           { "Revision", aRevision },
+           { "CreateRevision", 1 },
+           { "Lease", 0 } };
+}
+
+std::string
+WhyUnusable(const std::string& aKey, const std::string& aValue)
+{
+  const auto fact = DecodeValue(aKey, aValue, 3);
+  const auto* unusable =
+    std::get_if<registry::Unusable>(&fact.m_content);
+  return unusable == nullptr ? "usable" : unusable->m_reason;
+}
+
+} // namespace
+
+TEST(FactDecoder, ReadsAnEntry)
+{
+  const auto fact = DecodeValue("servers/i-7f3a91c2", Entry().dump(), 12);
+  EXPECT_EQ(fact.m_kind, FactKind::Server);
+  EXPECT_EQ(fact.m_name, "i-7f3a91c2");
+  EXPECT_EQ(fact.m_revision, 12U);
+  const auto& server = std::get<registry::Server>(fact.m_content);
+  EXPECT_EQ(server.m_number, 0x7f3a91c2U);
+  EXPECT_EQ(server.m_born, 1768772581052U);
+  EXPECT_EQ(server.m_service, "desk");
+  EXPECT_EQ(server.m_zone, "borgarnes");
+  EXPECT_EQ(server.m_slots, 2U);
+  EXPECT_EQ(server.m_coldFor, std::chrono::milliseconds(1500));
+
+  Section("one that leaves", [] {
+    json entry = Entry();
+    entry["State"] = "draining";
+    const auto leaving = DecodeValue("servers/i-1", entry.dump(), 1);
+    EXPECT_EQ(std::get<registry::Server>(leaving.m_content).m_state,
+              registry::ServerState::Draining);
+  });
+}
+
+TEST(FactDecoder, SetsEntriesAsideThatNameNoUsableServer)
+{
+  for (const char* field :
+       { "Service", "Address", "Zone", "Slots", "State", "born" }) {
+    json missing = Entry();
+    missing.erase(field);
+    EXPECT_NE(WhyUnusable("servers/i-1", missing.dump()), "usable") << field;
+    json odd = Entry();
+    odd[field] = json::array();
+    EXPECT_NE(WhyUnusable("servers/i-1", odd.dump()), "usable") << field;
+  }
+  const std::map<std::string, json> values = {
+    { "State", "asleep" },  { "Address", "nowhere:1" }, { "Address", "1.2.3.4" },
+    { "Slots", 0 },         { "Slots", -3 },            { "Slots", 1.5 },
+    { "born", 1.5 },        { "Service", "" },          { "Zone", "" },
+  };
+  for (const auto& [field, value] : values) {
+    json entry = Entry();
+    entry[field] = value;
+    EXPECT_NE(WhyUnusable("servers/i-1", entry.dump()), "usable")
+      << field << " " << value;
+  }
+  EXPECT_THAT(WhyUnusable("servers/i-xyz", Entry().dump()), HasSubstr("hex"));
+  EXPECT_THAT(WhyUnusable("servers/", Entry().dump()), HasSubstr("hex"));
+  EXPECT_NE(WhyUnusable("servers/i-1", "\xff\xfe{"), "usable");
+  EXPECT_NE(WhyUnusable("servers/i-1", "[]"), "usable");
+}
+
+TEST(FactDecoder, ReadsTheConfiguration)
+{
+  const auto fact = DecodeValue("op/config", Config().dump(), 2);
+  const auto& read = std::get<registry::Configuration>(fact.m_content);
+  EXPECT_EQ(read.m_version, 7U);
+  ASSERT_EQ(read.m_routes.size(), 2U);
+  EXPECT_EQ(ToString(read.m_routes[0].m_address), "198.18.0.1:8443");
+  EXPECT_EQ(read.m_routes[0].m_shares,
+            (std::vector<registry::ServiceShare>{ { "desk", 90 },
+                                                  { "vault", 10 } }));
+  EXPECT_EQ(read.m_routes[1].m_shares,
+            (std::vector<registry::ServiceShare>{ { "vault", 1 } }));
+  EXPECT_EQ(read.m_services[0].m_coldFlowsPerSecond, 4.5);
+  EXPECT_EQ(read.m_idleTimeout, std::chrono::seconds(15));
+
+  Section("or refuses it whole", [] {
+    json config = Config();
+    config["Routes"][0]["Prefix"] = "8443";
+    EXPECT_THAT(WhyUnusable("op/config", config.dump()), HasSubstr("Prefix"));
+  });
+}
+
+TEST(FactDecoder, ReadsAZoneOutWhateverItsValue)
+{
+  for (const char* value : { "{}", "", "junk" }) {
+    const auto fact = DecodeValue("op/evacuate/akranes", value, 2);
+    EXPECT_EQ(fact.m_kind, FactKind::ZoneOut);
+    EXPECT_EQ(fact.m_name, "akranes");
+    EXPECT_TRUE(std::holds_alternative<registry::ZoneOut>(fact.m_content));
+  }
+}
+
+TEST(FactDecoder, ReadsPagesAndChanges)
+{
+  const json page = {
+    { "items",
+      { Item("op/config", Config().dump(), 2),
+        Item("servers/i-1", Entry().dump(), 9) } },
+    { "HasMore", true },
+    { "StoreRevision", 11 },
+  };
+  const auto range = std::get<registry::Page>(DecodeRange(page.dump()));
+  EXPECT_EQ(range.m_facts.size(), 2U);
+  EXPECT_EQ(range.m_next, "servers/i-1");
+  EXPECT_EQ(range.m_revision, 11U);
+
+  const json changes = {
+    { "events",
+      { { { "Key", "servers/i-1" }, { "Revision", 12 }, { "Removed", true } },
+        Item("servers/i-2", "junk", 13) } },
+    { "StoreRevision", 13 },
+  };
+  const auto watch =
+    std::get<registry::Changes>(DecodeWatch(changes.dump()));
+  ASSERT_EQ(watch.m_facts.size(), 2U);
+  EXPECT_TRUE(
+    std::holds_alternative<registry::Removed>(watch.m_facts[0].m_content));
+  EXPECT_TRUE(
+    std::holds_alternative<registry::Unusable>(watch.m_facts[1].m_content));
+
+  Section("a value that is no base64 harms no other", [&] {
+    json odd = page;
+    odd["items"][0]["Value"] = "%%%";
+    const auto read = std::get<registry::Page>(DecodeRange(odd.dump()));
+    EXPECT_TRUE(
+      std::holds_alternative<registry::Unusable>(read.m_facts[0].m_content));
+    EXPECT_TRUE(
+      std::holds_alternative<registry::Server>(read.m_facts[1].m_content));
+  });
+}
+
+TEST(FactDecoder, RefusesAnswersThatAreNone)
+{
+  for (const char* body : { "",
+                            "{",
+                            "[]",
+                            "{}",
+                            R"({"items":3,"HasMore":false,"StoreRevision":1})",
+                            R"({"items":[3],"HasMore":false,"StoreRevision":1})",
+                            R"({"items":[],"HasMore":1,"StoreRevision":1})",
+                            R"({"items":[],"HasMore":false,"StoreRevision":"1"})" }) {
+    const auto answer = DecodeRange(body);
+    ASSERT_TRUE(std::holds_alternative<registry::CallFailure>(answer)) << body;
+    EXPECT_EQ(std::get<registry::CallFailure>(answer).m_code,
+              ResultCode::RegistryMalformed);
+  }
+  EXPECT_TRUE(
+    std::holds_alternative<registry::CallFailure>(DecodeWatch("{}")));
+}
+
+RC_GTEST_PROP(FactDecoder, SurvivesAnyValue, (const std::string& aValue))
+{
+  for (const char* key :
+       { "op/config", "servers/i-1", "op/evacuate/a", "other" }) {
+    DecodeValue(key, aValue, 1);
+  }
+  DecodeRange(aValue);
+  DecodeWatch(aValue);
+}
+
+RC_GTEST_PROP(FactDecoder, SurvivesAnyChangeOfAGoodValue, ())
+{
+  std::string text = *rc::gen::element(Entry().dump(), Config().dump());
+  const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+  text[at] = *rc::gen::arbitrary<char>();
+  DecodeValue("servers/i-1", text, 1);
+  DecodeValue("op/config", text, 1);
+}
+
+} // namespace wasabiloom::tests
--- /dev/null
+++ b/tests/unit/PlacingTests.cpp
@@ -0,0 +1,217 @@
+#include "support/Registry.h"
+#include "support/Section.h"
+#include "wasabiloom/base/Hash.h"
+#include "wasabiloom/placing/LatencyBook.h"
+#include "wasabiloom/placing/Placer.h"
+#include "wasabiloom/placing/Suspicion.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace wasabiloom::tests {
+
+using namespace placing;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Calm servers 1 to `aCount`, all in the own zone.
+std::vector<Candidate>
+Calm(std::uint32_t aCount)
+{
+  std::vector<Candidate> candidates;
+  for (std::uint32_t token = 1; token <= aCount; ++token) {
+    Candidate candidate;
+    candidate.m_token = token;
+    candidate.m_slots = 2;
+    candidate.m_sameZone = true;
+    candidate.m_latency = milliseconds(25);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+std::uint32_t
+Chosen(const std::vector<Candidate>& aCandidates, std::uint32_t aAvoid = 0)
+{
+  const auto placement = Place(aCandidates, aAvoid, 42);
+  return placement ? placement->m_token : 0;
+}
+
+} // namespace
+
+TEST(Place, FindsNothingWhereNothingIs)
+{
+  EXPECT_FALSE(Place({}, 0, 1));
+}
+
+TEST(Place, PrefersTheLeastLoad)
+{
+  auto servers = Calm(3);
+  Section("by requests under way", [&] {
+    servers[0].m_busy = 1;
+    servers[2].m_busy = 2;
+    EXPECT_EQ(Chosen(servers), 2U);
+  });
+  Section("in proportion to the slots", [&] {
+    servers[1].m_busy = 1;
+    servers[2].m_slots = 8;
+    EXPECT_EQ(Chosen(servers), 3U);
+  });
+  Section("an open flow counts little", [&] {
+    auto idle = Calm(2);
+    idle[0].m_open = 15;
+    idle[1].m_busy = 1;
+    EXPECT_EQ(Chosen(idle), 1U);
+    idle[0].m_open = 25;
+    EXPECT_EQ(Chosen(idle), 2U);
+  });
+  Section("one that answers slowly counts as full", [&] {
+    auto slow = Calm(3);
+    slow[0].m_latency = milliseconds(110);
+    slow[1].m_busy = 2;
+    slow[2].m_busy = 4;
+    EXPECT_EQ(Chosen(slow), 2U);
+  });
+}
+
+TEST(Place, StaysInItsZoneUntilThatIsFull)
+{
+  auto servers = Calm(2);
+  servers[1].m_sameZone = false;
+  servers[0].m_busy = 2;
+  EXPECT_EQ(Chosen(servers), 1U);
+  servers[0].m_busy = 3;
+  EXPECT_EQ(Chosen(servers), 2U);
+}
+
+TEST(Place, AvoidsDoubtfulAndColdServersWhileThereAreOthers)
+{
+  auto servers = Calm(3);
+  servers[0].m_suspect = true;
+  servers[1].m_cold = true;
+  servers[2].m_busy = 9;
+  EXPECT_EQ(Chosen(servers), 3U);
+
+  Section("cold before suspect", [&] {
+    servers.pop_back();
+    const auto placement = Place(servers, 0, 1);
+    EXPECT_EQ(placement->m_token, 2U);
+    EXPECT_EQ(placement->m_reason, PlaceReason::OnlyCold);
+  });
+  Section("suspect before none", [&] {
+    servers.pop_back();
+    const auto placement = Place(servers, 0, 1);
+    EXPECT_EQ(placement->m_token, 1U);
+    EXPECT_EQ(placement->m_reason, PlaceReason::OnlySuspect);
+  });
+  Section("the avoided one only when it is alone", [&] {
+    auto two = Calm(2);
+    two[1].m_busy = 50;
+    EXPECT_EQ(Chosen(two, 1), 2U);
+    two.pop_back();
+    EXPECT_EQ(Chosen(two, 1), 1U);
+  });
+}
+
+TEST(Place, SpreadsTies)
+{
+  const auto servers = Calm(10);
+  std::map<std::uint32_t, int> counts;
+  for (std::uint64_t flow = 0; flow < 10'000; ++flow) {
+    ++counts[Place(servers, 0, base::Mix(flow + 1))->m_token];
+  }
+  for (const auto& [token, count] : counts) {
+    EXPECT_NEAR(count, 1000, 150) << token;
+  }
+}
+
+/// Plays the load of one zone: two hosts that don't see each other's flows
+/// place requests of 25 ms at five servers, two thirds of what they bear.
+TEST(Place, KeepsServersEvenUnderLoad)
+{
+  struct Request
+  {
+    int m_until;
+    std::size_t m_host;
+    std::size_t m_server;
+  };
+  constexpr std::size_t kServers = 5;
+  constexpr int kWorkMs = 25;
+  std::array<std::vector<Candidate>, 2> views = { Calm(kServers),
+                                                  Calm(kServers) };
+  std::array<int, kServers> total{};
+  std::vector<Request> running;
+  int placed = 0;
+  for (int now = 0; now < 30'000; ++now) {
+    std::erase_if(running, [&](const Request& aRequest) {
+      const bool ends = aRequest.m_until <= now;
+      views[aRequest.m_host][aRequest.m_server].m_busy -= ends ? 1 : 0;
+      return ends;
+    });
+    const bool arrives = base::Mix(static_cast<std::uint64_t>(now) + 1) % 4 == 0;
+    if (!arrives) {
+      continue;
+    }
+    const std::size_t host = placed % views.size();
+    const auto hash = base::Mix(static_cast<std::uint64_t>(now) + 77);
+    const std::size_t server = Place(views[host], 0, hash)->m_token - 1;
+    ++views[host][server].m_busy;
+    ++total[server];
+    ++placed;
+    running.push_back({ now + kWorkMs, host, server });
+  }
+  const int busiest = *std::ranges::max_element(total);
+  EXPECT_LE(busiest * static_cast<double>(kServers) / placed, 1.08);
+}
+
+TEST(LatencyBook, FollowsWhatIsMeasuredAndForgets)
+{
+  LatencyBook book;
+  EXPECT_EQ(book.At(1, At(0)), base::Duration::zero());
+  book.Observe(1, milliseconds(20), At(0));
+  EXPECT_EQ(book.At(1, At(0)), milliseconds(20));
+  for (int i = 0; i < 40; ++i) {
+    book.Observe(1, milliseconds(100), At(0.1));
+  }
+  EXPECT_GT(book.At(1, At(0.1)), milliseconds(95));
+  EXPECT_EQ(book.At(1, At(9)), base::Duration::zero());
+  book.Observe(1, milliseconds(30), At(9));
+  EXPECT_EQ(book.At(1, At(9)), milliseconds(30));
+}
+
+TEST(Suspicion, GrowsWithSilenceAndEndsWithASign)
+{
+  Suspicion suspicion;
+  EXPECT_FALSE(suspicion.IsSuspect(1, At(0)));
+  suspicion.OnUnanswered(1, At(0));
+  EXPECT_TRUE(suspicion.IsSuspect(1, At(1)));
+  EXPECT_FALSE(suspicion.IsSuspect(2, At(1)));
+
+  Section("it ends by itself, so that nobody is shut out for good", [&] {
+    EXPECT_FALSE(suspicion.IsSuspect(1, At(2)));
+  });
+  Section("it lasts longer each time", [&] {
+    suspicion.OnUnanswered(1, At(2));
+    EXPECT_TRUE(suspicion.IsSuspect(1, At(4.5)));
+    EXPECT_FALSE(suspicion.IsSuspect(1, At(5.5)));
+  });
+  Section("it ends at once when callers hear from the server", [&] {
+    suspicion.OnUnanswered(1, At(6));
+    suspicion.OnAlive(1, At(6.1));
+    EXPECT_FALSE(suspicion.IsSuspect(1, At(6.1)));
+    EXPECT_EQ(suspicion.AliveAt(1), At(6.1));
+  });
+  Section("one stalled flow is no evidence, two are", [&] {
+    suspicion.OnStall(1, At(7));
+    EXPECT_FALSE(suspicion.IsSuspect(1, At(7)));
+    suspicion.OnStall(1, At(7.1));
+    EXPECT_TRUE(suspicion.IsSuspect(1, At(7.1)));
+  });
+}
+
+} // namespace wasabiloom::tests
--- /dev/null
+++ b/tests/unit/ReaderTests.cpp
@@ -0,0 +1,186 @@
+#include "support/Registry.h"
+#include "support/Section.h"
+#include "wasabiloom/registry/Reader.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabiloom::tests {
+
+using namespace registry;
+using base::ResultCode;
+using Kind = ReaderCall::Kind;
+
+namespace {
+
+/// Counts what a reader tells.
+class Events final : public ReaderEvents
+{
+public:
+  void OnFact(const Fact& /*aFact*/, Outcome aOutcome) override
+  {
+    m_adopted += aOutcome == Outcome::Adopted ? 1 : 0;
+  }
+  void OnCallFailed(const CallFailure& /*aFailure*/,
+                    std::uint32_t aFailures,
+                    base::Duration aPause) override
+  {
+    m_failures = aFailures;
+    m_pause = aPause;
+  }
+  void OnReachable(std::uint64_t /*aRevision*/) override { ++m_reached; }
+  void OnListed(std::uint64_t /*aRevision*/, std::size_t aFacts) override
+  {
+    m_listed = aFacts;
+  }
+
+  int m_adopted = 0;
+  int m_reached = 0;
+  std::uint32_t m_failures = 0;
+  base::Duration m_pause{ 0 };
+  std::size_t m_listed = 0;
+};
+
+struct ReaderUnderTest
+{
+  ReaderTiming m_timing;
+  Beliefs m_beliefs;
+  Events m_events;
+  Reader m_reader{ m_timing, 7, m_beliefs, m_events };
+
+  /// Lists one page with a configuration at `aRevision`.
+  void List(std::uint64_t aRevision)
+  {
+    EXPECT_EQ(m_reader.Next(At(0)).m_kind, Kind::List);
+    m_reader.OnPage({ { ConfigurationFact(1, 1) }, "", aRevision }, At(0));
+  }
+};
+
+const CallFailure kUnavailable{ ResultCode::PlatformUnavailable, "503" };
+
+} // namespace
+
+TEST(Reader, ListsThenWatches)
+{
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  const ReaderCall first = reader.Next(At(0));
+  EXPECT_EQ(first.m_kind, Kind::List);
+  EXPECT_EQ(reader.Next(At(0)).m_kind, Kind::None) << "one call at a time";
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "k", 10 }, At(0));
+
+  Section("page by page", [&] {
+    EXPECT_EQ(reader.Next(At(0)).m_after, "k");
+    reader.OnPage({ { ServerFact(MakeServer("i-1"), 12) }, "", 14 }, At(0));
+    EXPECT_EQ(setup.m_events.m_listed, 2U);
+    EXPECT_TRUE(setup.m_beliefs.IsComplete());
+  });
+  Section("and watches from the first page on, as pages are no snapshot", [&] {
+    const ReaderCall watch = reader.Next(At(0));
+    EXPECT_EQ(watch.m_kind, Kind::Watch);
+    EXPECT_EQ(watch.m_revision, 10U);
+    EXPECT_EQ(watch.m_wait, setup.m_timing.m_watchWait);
+    EXPECT_GT(watch.m_timeout, watch.m_wait);
+  });
+}
+
+TEST(Reader, PacesWatchesThatBringChanges)
+{
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.Next(At(1));
+  reader.OnChanges({ { ServerFact(MakeServer("i-1"), 11) }, 11 }, At(2));
+  EXPECT_EQ(reader.Next(At(2.5)).m_kind, Kind::None);
+  EXPECT_EQ(reader.Next(At(3)).m_kind, Kind::Watch);
+
+  Section("but not those that end without any", [&] {
+    reader.OnChanges({ {}, 11 }, At(7));
+    EXPECT_EQ(reader.Next(At(7)).m_kind, Kind::Watch);
+  });
+  Section("nor when there is a hurry", [&] {
+    reader.OnChanges({ { ServerFact(MakeServer("i-2"), 12) }, 12 }, At(8));
+    reader.Hurry(At(8.05));
+    EXPECT_EQ(reader.Next(At(8.05)).m_kind, Kind::None);
+    EXPECT_EQ(reader.Next(At(8.15)).m_kind, Kind::Watch);
+  });
+}
+
+TEST(Reader, BacksOffAndReturnsWithoutAStampede)
+{
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  double now = 1;
+  base::Duration longest{ 0 };
+  for (std::uint32_t i = 1; i <= 12; ++i) {
+    EXPECT_NE(reader.Next(At(now)).m_kind, Kind::None);
+    reader.OnFailure(kUnavailable, At(now));
+    EXPECT_EQ(setup.m_events.m_failures, i);
+    EXPECT_EQ(reader.Next(At(now)).m_kind, Kind::None);
+    longest = std::max(longest, setup.m_events.m_pause);
+    EXPECT_LE(longest, setup.m_timing.m_longestPause);
+    now += 2;
+  }
+  EXPECT_GE(longest, setup.m_timing.m_longestPause / 2);
+
+  Section("asks without waiting while it is failing", [&] {
+    EXPECT_EQ(reader.Next(At(now)).m_wait, base::Duration::zero());
+  });
+  Section("two hosts don't come back together", [&] {
+    Events events;
+    Reader other(setup.m_timing, 8, setup.m_beliefs, events);
+    other.Next(At(0));
+    other.OnFailure(kUnavailable, At(0));
+    Reader same(setup.m_timing, 9, setup.m_beliefs, setup.m_events);
+    same.Next(At(0));
+    same.OnFailure(kUnavailable, At(0));
+    EXPECT_NE(events.m_pause, setup.m_events.m_pause);
+  });
+  Section("and says once when the registry answers again", [&] {
+    const int before = setup.m_events.m_reached;
+    reader.OnChanges({ {}, 10 }, At(now));
+    EXPECT_EQ(setup.m_events.m_reached, before + 1);
+    EXPECT_FALSE(reader.IsFailing());
+  });
+}
+
+TEST(Reader, ListsAgainWhenTheHistoryHasGone)
+{
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.Next(At(1));
+  reader.OnChanges({ { ServerFact(MakeServer("i-1"), 11) }, 11 }, At(1));
+  reader.Next(At(2));
+  reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(2));
+  EXPECT_EQ(reader.Next(At(4)).m_kind, Kind::List);
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "", 30 }, At(4));
+  EXPECT_EQ(reader.Revision(), 30U);
+  const auto* lost =
+    setup.m_beliefs.FindToken(MakeToken("i-1", 1));
+  EXPECT_EQ(lost->m_presence, Presence::Lapsed);
+}
+
+TEST(Reader, TakesFactsFromPeersOnlyWhenTheyAreNewer)
+{
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  const Page peer{ { ConfigurationFact(3, 5) }, "", 20 };
+  EXPECT_TRUE(reader.OnPeerFacts(peer, At(0)));
+  EXPECT_TRUE(setup.m_beliefs.IsComplete());
+  EXPECT_FALSE(reader.OnPeerFacts(peer, At(0)));
+
+  Section("the registry's own listing still counts", [&] {
+    reader.OnPage({ { ConfigurationFact(4, 21) }, "", 22 }, At(1));
+    EXPECT_EQ(setup.m_beliefs.InForce().m_version, 4U);
+    EXPECT_EQ(reader.Next(At(1)).m_revision, 22U);
+  });
+  Section("an older listing takes nothing back", [&] {
+    EXPECT_FALSE(reader.OnPeerFacts({ { ConfigurationFact(2, 2) }, "", 21 },
+                                    At(2)));
+    EXPECT_EQ(setup.m_beliefs.InForce().m_version, 4U);
+  });
+}
+
+} // namespace wasabiloom::tests
--- /dev/null
+++ b/tests/unit/TokenHostTests.cpp
@@ -0,0 +1,418 @@
+#include "platform/DatagramCodec.h"
+#include "support/Registry.h"
+#include "support/Section.h"
+#include "wasabiloom/token/TokenHost.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+namespace wasabiloom::tests {
+
+using namespace token;
+using base::Endpoint;
+using registry::FactKind;
+using registry::MakeToken;
+using registry::ReaderCall;
+
+namespace {
+
+constexpr std::uint16_t kReturnPort = 8172;
+constexpr std::uint8_t kFin = 2;
+constexpr std::uint8_t kSyn = 8;
+constexpr std::uint8_t kAck = 32;
+
+/// What a caller sends.
+struct Sent
+{
+  std::uint8_t m_flags = kSyn;
+  std::uint32_t m_token = 0;
+  std::uint32_t m_sequence = 1;
+  std::uint32_t m_acknowledged = 0;
+  std::uint16_t m_length = 0;
+  std::uint16_t m_callerPort = 40001;
+  std::uint16_t m_port = 443;
+};
+
+std::vector<std::byte>
+Write(const Sent& aSent)
+{
+  std::vector<std::byte> bytes(platform::kHeadBytes + aSent.m_length);
+  const auto put = [&](std::size_t aAt, const auto& aValue) {
+    std::memcpy(bytes.data() + aAt, &aValue, sizeof(aValue));
+  };
+  put(0, aSent.m_token);
+  put(4, aSent.m_sequence);
+  put(8, aSent.m_acknowledged);
+  put(12, aSent.m_flags);
+  put(16, aSent.m_length);
+  put(22, aSent.m_port);
+  put(24, std::uint32_t{ 0xc6120001 });
+  put(28, std::uint32_t{ 0x64400007 });
+  put(32, aSent.m_callerPort);
+  return bytes;
+}
+
+/// Keeps what a host sends and logs.
+class Recorder final : public TokenEffects
+{
+public:
+  void Send(const Endpoint& aTo, std::span<const std::byte> aBytes) override
+  {
+    m_to.push_back(aTo);
+    m_bytes.assign(aBytes.begin(), aBytes.end());
+  }
+  void LogDecision(const Decision& aDecision) override
+  {
+    m_reason = aDecision.m_reason;
+    ++m_lines;
+  }
+  void LogBelief(std::string_view /*aWhat*/,
+                 const std::string& /*aDetail*/) override
+  {
+  }
+
+  std::vector<Endpoint> m_to;
+  std::vector<std::byte> m_bytes;
+  Reason m_reason = Reason::Malformed;
+  int m_lines = 0;
+};
+
+class TokenHostTest : public testing::Test
+{
+protected:
+  TokenHostTest() { m_host.NextCall(At(0)); }
+
+  /// Lets the host list `aServers` with configuration 1.
+  void Learn(const std::vector<registry::Server>& aServers)
+  {
+    registry::Page page{ { ConfigurationFact(1, 1) }, "", 10 };
+    for (const auto& server : aServers) {
+      page.m_facts.push_back(ServerFact(server, 5));
+    }
+    m_host.OnListAnswer(page, At(0));
+    m_host.NextCall(At(0));
+  }
+
+  /// Lets the host watch `aFacts` come at `aSeconds`.
+  void Change(const std::vector<registry::Fact>& aFacts, double aSeconds)
+  {
+    m_host.OnWatchAnswer(registry::Changes{ aFacts, ++m_revision },
+                         At(aSeconds));
+    m_host.NextCall(At(aSeconds + 1));
+  }
+
+  /// Runs the host's timer up to `aSeconds`.
+  void RunUntil(double aSeconds)
+  {
+    for (; m_now < aSeconds; m_now += 0.05) {
+      m_host.OnTick(At(m_now));
+    }
+  }
+
+  /// Sends a packet; the endpoint that the host sent to, or nothing.
+  std::string Give(const Sent& aSent, double aSeconds)
+  {
+    RunUntil(aSeconds);
+    const std::size_t before = m_effects.m_to.size();
+    m_host.OnPacket(Write(aSent), At(aSeconds));
+    return m_effects.m_to.size() == before ? "" : ToString(m_effects.m_to.back());
+  }
+
+  bool GotReset() const
+  {
+    return m_effects.m_bytes.size() == platform::kHeadBytes &&
+           m_effects.m_bytes[12] == std::byte{ 4 };
+  }
+
+  platform::DatagramCodec m_codec;
+  Recorder m_effects;
+  registry::ReaderTiming m_timing;
+  TokenHost m_host{ { "h", "a", kReturnPort, std::chrono::seconds(4) },
+                    m_timing,
+                    1,
+                    m_codec,
+                    m_effects };
+  std::uint64_t m_revision = 100;
+  double m_now = 0;
+};
+
+const std::string kServer1 = "10.128.0.1:8080";
+const std::string kServer2 = "10.128.0.2:8080";
+const std::string kCaller = "100.64.0.7:8172";
+
+Sent
+Data(const std::string& aServer, std::uint64_t aBorn = 1)
+{
+  Sent sent;
+  sent.m_flags = kAck;
+  sent.m_token = MakeToken(aServer, aBorn);
+  sent.m_sequence = 2;
+  sent.m_acknowledged = 9;
+  sent.m_length = 10;
+  return sent;
+}
+
+} // namespace
+
+TEST_F(TokenHostTest, HoldsPacketsUntilItKnowsEnough)
+{
+  EXPECT_EQ(Give({}, 0), "");
+  EXPECT_EQ(m_effects.m_reason, Reason::NotLearnedYet);
+  Learn({ MakeServer("i-1") });
+  ASSERT_EQ(m_effects.m_to.size(), 1U);
+  EXPECT_EQ(ToString(m_effects.m_to[0]), kServer1);
+
+  Section("but not for ever, nor without bound", [&] {
+    TokenHost other({ "h", "a", kReturnPort, {} }, m_timing, 1, m_codec, m_effects);
+    for (std::size_t i = 0; i < 2 * kMaxHeld; ++i) {
+      other.OnPacket(Write({}), At(0));
+    }
+    EXPECT_EQ(other.GetTotals().m_held, kMaxHeld);
+    EXPECT_EQ(other.GetTotals().m_dropped, kMaxHeld);
+  });
+}
+
+TEST_F(TokenHostTest, DeliversAnyFlowsPacketByItsToken)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2") });
+  EXPECT_EQ(Give(Data("i-1"), 1), kServer1);
+  EXPECT_EQ(Give(Data("i-2"), 1), kServer2);
+
+  Section("also when the entry lapsed, is leaving, or its zone is out", [&] {
+    auto leaving = MakeServer("i-1");
+    leaving.m_state = registry::ServerState::Draining;
+    Change({ RemovedFact(FactKind::Server, "i-2", 20),
+             ServerFact(leaving, 21),
+             ZoneOutFact("a", 22) },
+           2);
+    EXPECT_EQ(Give(Data("i-1"), 3), kServer1);
+    EXPECT_EQ(Give(Data("i-2"), 3), kServer2);
+  });
+}
+
+TEST_F(TokenHostTest, NamesTheServerSoThatNoStrangerTakesAPacket)
+{
+  Learn({ MakeServer("i-7f3a") });
+  Give({}, 1);
+  ASSERT_GT(m_effects.m_bytes.size(), 12U);
+  EXPECT_EQ(m_effects.m_bytes[6], std::byte{ 0x7f });
+  EXPECT_EQ(m_effects.m_bytes[7], std::byte{ 0x3a });
+  std::uint32_t token = 0;
+  std::memcpy(&token, m_effects.m_bytes.data() + 8, sizeof(token));
+  EXPECT_EQ(token, MakeToken("i-7f3a", 1));
+}
+
+TEST_F(TokenHostTest, GivesNoNewFlowToWhomItMustNot)
+{
+  Learn({ MakeServer("i-1", "a"), MakeServer("i-2", "b") });
+  EXPECT_EQ(Give({}, 1), kServer1);
+
+  Section("a leaving server", [&] {
+    auto leaving = MakeServer("i-1", "a");
+    leaving.m_state = registry::ServerState::Draining;
+    Change({ ServerFact(leaving, 20) }, 2);
+    Sent open;
+    open.m_callerPort = 40002;
+    EXPECT_EQ(Give(open, 2.1), kServer2);
+  });
+  Section("a zone taken out", [&] {
+    Change({ ZoneOutFact("b", 21) }, 4);
+    Sent open;
+    open.m_callerPort = 40003;
+    EXPECT_EQ(Give(open, 4.1), kCaller);
+    EXPECT_TRUE(GotReset());
+    EXPECT_EQ(m_effects.m_reason, Reason::NoServer);
+  });
+  Section("until it is back", [&] {
+    Change({ RemovedFact(FactKind::ZoneOut, "b", 22) }, 6);
+    Sent open;
+    open.m_callerPort = 40004;
+    EXPECT_EQ(Give(open, 6.1), kServer2);
+  });
+}
+
+TEST_F(TokenHostTest, SendsACopyOfAnUnansweredOpeningElsewhere)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2") });
+  const std::string first = Give({}, 1);
+
+  Section("the fabric's duplicate goes to the same server", [&] {
+    EXPECT_EQ(Give({}, 1.01), first);
+  });
+  Section("the caller's copy to another, which then is preferred", [&] {
+    Sent copy;
+    copy.m_acknowledged = 1;
+    const std::string second = Give(copy, 1.2);
+    EXPECT_NE(second, first);
+    EXPECT_EQ(m_effects.m_reason, Reason::PlacedAgain);
+    for (std::uint16_t port = 50000; port < 50005; ++port) {
+      Sent open;
+      open.m_callerPort = port;
+      EXPECT_EQ(Give(open, 1.3), second);
+    }
+  });
+}
+
+TEST_F(TokenHostTest, ResetsWhatHasNoRoute)
+{
+  Learn({ MakeServer("i-1") });
+  Sent open;
+  open.m_port = 444;
+  EXPECT_EQ(Give(open, 1), kCaller);
+  EXPECT_TRUE(GotReset());
+  EXPECT_EQ(m_effects.m_reason, Reason::NoRoute);
+
+  Section("also an open flow whose route was dropped", [&] {
+    Sent data = Data("i-1");
+    data.m_port = 444;
+    EXPECT_EQ(Give(data, 1), kCaller);
+    EXPECT_EQ(m_effects.m_reason, Reason::RouteDropped);
+  });
+  Section("but never answers a reset", [&] {
+    Sent reset = Data("i-1");
+    reset.m_flags = 4;
+    reset.m_port = 444;
+    EXPECT_EQ(Give(reset, 1), "");
+  });
+}
+
+TEST_F(TokenHostTest, AsksForNewsWhenATokenLeadsNowhere)
+{
+  Learn({ MakeServer("i-1") });
+  EXPECT_EQ(Give(Data("i-9"), 1), "");
+  EXPECT_EQ(m_effects.m_reason, Reason::TokenUnknown);
+  EXPECT_EQ(m_effects.m_lines, 1);
+  EXPECT_EQ(Give(Data("i-9"), 1.2), "");
+  EXPECT_EQ(m_effects.m_lines, 1) << "one line a flow";
+
+  Section("delivers once the server is known", [&] {
+    Change({ ServerFact(MakeServer("i-9"), 20) }, 1.4);
+    EXPECT_EQ(Give(Data("i-9"), 1.6), "10.128.0.9:8080");
+  });
+  Section("resets when nothing came to explain it", [&] {
+    Sent data = Data("i-8");
+    data.m_callerPort = 40009;
+    EXPECT_EQ(Give(data, 2), "");
+    EXPECT_EQ(Give(data, 4), "");
+    Change({}, 4.5);
+    EXPECT_EQ(Give(data, 5.2), kCaller);
+    EXPECT_TRUE(GotReset());
+  });
+}
+
+TEST_F(TokenHostTest, ResetsFlowsOnlyOfServersThatAreGoneAndSilent)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2") });
+  EXPECT_EQ(Give(Data("i-1"), 1), kServer1);
+  Change({ RemovedFact(FactKind::Server, "i-1", 20) }, 2);
+
+  Section("not while the entry may come back", [&] {
+    EXPECT_EQ(Give(Data("i-1"), 4), kServer1);
+  });
+  Section("not while callers hear from the server", [&] {
+    Sent progress = Data("i-1");
+    progress.m_acknowledged = 20;
+    EXPECT_EQ(Give(progress, 4.4), kServer1);
+    EXPECT_EQ(Give(Data("i-1"), 6), kServer1);
+  });
+  Section("afterwards", [&] {
+    EXPECT_EQ(Give(Data("i-1"), 9), kCaller);
+    EXPECT_TRUE(GotReset());
+    EXPECT_EQ(m_effects.m_reason, Reason::ServerGone);
+  });
+}
+
+TEST_F(TokenHostTest, LeavesARestartedServerToAnswerForItsOldFlows)
+{
+  Learn({ MakeServer("i-1", "a", 100) });
+  EXPECT_EQ(Give(Data("i-1", 100), 1), kServer1);
+  Change({ ServerFact(MakeServer("i-1", "a", 200), 20) }, 2);
+  EXPECT_EQ(Give(Data("i-1", 100), 3), kServer1);
+  Sent open;
+  open.m_callerPort = 40002;
+  Give(open, 3);
+  std::uint32_t token = 0;
+  std::memcpy(&token, m_effects.m_bytes.data() + 8, sizeof(token));
+  EXPECT_EQ(token, MakeToken("i-1", 200));
+}
+
+TEST_F(TokenHostTest, GivesUpOpenFlowsOfAZoneTakenOutAfterTheGrace)
+{
+  Learn({ MakeServer("i-1") });
+  Change({ ZoneOutFact("a", 20) }, 1);
+  EXPECT_EQ(Give(Data("i-1"), 4.9), kServer1);
+  EXPECT_EQ(Give(Data("i-1"), 5.1), "");
+  EXPECT_EQ(m_effects.m_reason, Reason::ZoneOut);
+}
+
+TEST_F(TokenHostTest, WaitsForNewsAfterAPause)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2", "b") });
+  RunUntil(1);
+  m_now = 5;
+  const std::size_t before = m_effects.m_to.size();
+  m_host.OnPacket(Write({}), At(5));
+  EXPECT_EQ(m_effects.m_to.size(), before);
+
+  Section("open flows go on", [&] {
+    EXPECT_EQ(Give(Data("i-1"), 5.05), kServer1);
+  });
+  Section("new ones go by the news", [&] {
+    Change({ ZoneOutFact("a", 20) }, 5.1);
+    EXPECT_EQ(ToString(m_effects.m_to.back()), kServer2);
+  });
+  Section("or wait a moment at most", [&] {
+    m_now = 8;
+    Sent open;
+    open.m_callerPort = 40002;
+    m_host.OnPacket(Write(open), At(8));
+    const std::size_t held = m_effects.m_to.size();
+    RunUntil(8.6);
+    EXPECT_EQ(m_effects.m_to.size(), held + 1);
+  });
+}
+
+TEST_F(TokenHostTest, CountsBadInputAndIsNotDisturbed)
+{
+  Learn({ MakeServer("i-1") });
+  const std::vector<std::byte> junk(20, std::byte{ 1 });
+  for (int i = 0; i < 1000; ++i) {
+    m_host.OnPacket(junk, At(1));
+  }
+  EXPECT_EQ(m_host.GetTotals().m_malformed, 1000U);
+  EXPECT_EQ(m_effects.m_lines, 0);
+  EXPECT_EQ(Give(Data("i-1"), 1), kServer1);
+}
+
+TEST_F(TokenHostTest, ForgetsFlowsThatEnd)
+{
+  Learn({ MakeServer("i-1") });
+  Give({}, 1);
+  Give(Data("i-1"), 1);
+  EXPECT_EQ(m_host.FlowCount(), 1U);
+  Sent end = Data("i-1");
+  end.m_flags = kAck | kFin;
+  Give(end, 1.1);
+  EXPECT_EQ(m_host.FlowCount(), 0U);
+
+  Section("and those that fall silent", [&] {
+    Give(Data("i-1"), 2);
+    RunUntil(8);
+    EXPECT_EQ(m_host.FlowCount(), 0U);
+  });
+}
+
+TEST(ChooseService, FollowsTheWeights)
+{
+  const registry::Route route{ "r", {}, { { "a", 90 }, { "b", 10 } } };
+  int b = 0;
+  for (std::uint64_t hash = 0; hash < 10'000; ++hash) {
+    b += ChooseService(route, hash) == "b" ? 1 : 0;
+  }
+  EXPECT_NEAR(b, 1000, 120);
+  EXPECT_EQ(ChooseService({ "r", {}, { { "a", 0 } } }, 1), "");
+  EXPECT_EQ(ChooseService({ "r", {}, {} }, 1), "");
+}
+
+} // namespace wasabiloom::tests
