--- a/src/wasabiloom/daemon/HttpServer.cpp
+++ b/src/wasabiloom/daemon/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include <QHostAddress>
 #include <QNetworkProxy>
+#include <QPointer>
 #include <QTcpSocket>
 #include <QTimer>
 #include <boost/beast/http.hpp>
@@ -73,7 +74,16 @@
   {
     m_idle.start(kIdleMs);
     m_pending += m_socket->readAll().toStdString();
-    while (!m_pending.empty()) {
+    if (m_pending.size() > kMaxHeadBytes) {
+      Refuse("request too large");
+      return;
+    }
+    ReadRequests();
+  }
+
+  void ReadRequests()
+  {
+    while (!m_isAnswering && !m_pending.empty()) {
       boost::system::error_code failure;
       const std::size_t used =
         m_parser->put(boost::asio::buffer(m_pending), failure);
@@ -82,7 +92,7 @@
         return;
       }
       if (failure) {
-        Send({ kBadRequest, "text/plain", failure.message() }, false);
+        Refuse(failure.message());
         return;
       }
       if (m_parser->is_done()) {
@@ -91,12 +101,25 @@
     }
   }
 
+  void Refuse(const std::string& aWhy)
+  {
+    Send({ kBadRequest, "text/plain", aWhy }, false);
+  }
+
   void Answer()
   {
-    const auto& request = m_parser->get();
-    const bool keep = request.keep_alive();
-    Send(m_server.m_handler(std::string(request.target())), keep);
+    m_isAnswering = true;
+    const bool keep = m_parser->get().keep_alive();
+    const std::string target(m_parser->get().target());
     NewRequest();
+    const QPointer<Connection> self(this);
+    m_server.m_handler(target, [self, keep](const HttpReply& aReply) {
+      if (self) {
+        self->m_isAnswering = false;
+        self->Send(aReply, keep);
+        self->ReadRequests();
+      }
+    });
   }
 
   void Send(const HttpReply& aReply, bool aKeep)
@@ -113,6 +136,7 @@
   HttpServer& m_server;
   QTimer m_idle;
   std::string m_pending;
+  bool m_isAnswering = false;
   std::unique_ptr<Parser> m_parser;
 };
 
--- a/src/wasabiloom/daemon/HttpServer.h
+++ b/src/wasabiloom/daemon/HttpServer.h
@@ -28,8 +28,12 @@
 class HttpServer final : public QObject
 {
 public:
-  /// Answers for one path.
-  using Handler = std::function<HttpReply(const std::string&)>;
+  /// Takes the reply to one request; does nothing when the caller has left.
+  using Responder = std::function<void(const HttpReply&)>;
+
+  /// Answers for one path, now or later. The next request of the connection
+  /// waits for the reply.
+  using Handler = std::function<void(const std::string&, const Responder&)>;
 
   explicit HttpServer(Handler aHandler);
   ~HttpServer() override;
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -89,7 +89,10 @@
     m_host.OnPeerFacts(aFacts, Now());
     NoteReady();
   })
-  , m_server([this](const std::string& aPath) { return Answer(aPath); })
+  , m_server([this](const std::string& aPath,
+                    const HttpServer::Responder& aReply) {
+    aReply(Answer(aPath));
+  })
 {
   m_peers.SetPeers(PeersOf(m_settings));
   m_timer.setInterval(kTick);
