--- a/src/wasabiloom/daemon/BufferedLog.cpp
+++ b/src/wasabiloom/daemon/BufferedLog.cpp
@@ -74,8 +74,7 @@
     log4cxx::BasicConfigurator::configure(
       std::make_shared<BufferAppender>(layout, aBuffer));
   }
-  root->setLevel(
-    log4cxx::Level::toLevel(aLevel, log4cxx::Level::getInfo()));
+  root->setLevel(log4cxx::Level::toLevel(aLevel, log4cxx::Level::getInfo()));
 }
 
 bool
--- a/src/wasabiloom/daemon/HttpClient.cpp
+++ b/src/wasabiloom/daemon/HttpClient.cpp
@@ -57,7 +57,8 @@
 {
   m_timer.setSingleShot(true);
   m_timer.setTimerType(Qt::PreciseTimer);
-  connect(&m_timer, &QTimer::timeout, this, [this] { Fail("no answer in time"); });
+  connect(
+    &m_timer, &QTimer::timeout, this, [this] { Fail("no answer in time"); });
 }
 
 HttpClient::~HttpClient()
@@ -77,8 +78,7 @@
               "\r\nAccept: application/json\r\n\r\n";
   m_exchange = std::make_unique<Exchange>();
   m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(aTimeout));
-  m_isReused =
-    m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
+  m_isReused = m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
   if (m_isReused) {
     SendRequest();
   } else {
@@ -91,14 +91,12 @@
 {
   m_socket = std::make_unique<QTcpSocket>();
   m_socket->setProxy(QNetworkProxy::NoProxy);
-  connect(m_socket.get(), &QTcpSocket::connected, this, [this] {
-    SendRequest();
-  });
+  connect(
+    m_socket.get(), &QTcpSocket::connected, this, [this] { SendRequest(); });
   connect(
     m_socket.get(), &QTcpSocket::readyRead, this, [this] { OnReadable(); });
-  connect(m_socket.get(), &QTcpSocket::errorOccurred, this, [this] {
-    OnClosed();
-  });
+  connect(
+    m_socket.get(), &QTcpSocket::errorOccurred, this, [this] { OnClosed(); });
   m_socket->connectToHost(QHostAddress(m_server.m_address.m_bits),
                           m_server.m_port);
 }
@@ -178,7 +176,6 @@
 HttpClient::Finish(const HttpAnswer& aAnswer, bool aKeep)
 {
   m_timer.stop();
-  const HttpAnswer answer = aAnswer;
   if (!aKeep && m_socket) {
     m_socket->disconnect(this);
     m_socket->abort();
@@ -186,7 +183,7 @@
   }
   const auto onAnswer = std::move(m_onAnswer);
   m_onAnswer = nullptr;
-  onAnswer(answer);
+  onAnswer(aAnswer);
 }
 
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/HttpServer.cpp
+++ b/src/wasabiloom/daemon/HttpServer.cpp
@@ -48,8 +48,7 @@
     ++m_server.m_connections;
     m_idle.setSingleShot(true);
     connect(aSocket, &QTcpSocket::readyRead, this, [this] { OnReadable(); });
-    connect(
-      aSocket, &QTcpSocket::disconnected, aSocket, &QObject::deleteLater);
+    connect(aSocket, &QTcpSocket::disconnected, aSocket, &QObject::deleteLater);
     connect(&m_idle, &QTimer::timeout, aSocket, [aSocket] {
       aSocket->abort();
       aSocket->deleteLater();
--- a/src/wasabiloom/daemon/LineBuffer.cpp
+++ b/src/wasabiloom/daemon/LineBuffer.cpp
@@ -47,8 +47,7 @@
 {
   std::size_t written = 0;
   while (written < m_waiting.size() && IsWritable(m_descriptor)) {
-    const std::size_t piece =
-      std::min(kPieceBytes, m_waiting.size() - written);
+    const std::size_t piece = std::min(kPieceBytes, m_waiting.size() - written);
     const ssize_t count =
       write(m_descriptor, m_waiting.data() + written, piece);
     if (count <= 0) {
--- a/src/wasabiloom/daemon/PeerFacts.cpp
+++ b/src/wasabiloom/daemon/PeerFacts.cpp
@@ -62,8 +62,7 @@
     [](const base::Problem& aProblem) {
       LogLine(LogLevel::Warn,
               "host",
-              "event=peer_facts_refused detail=\"" + Describe(aProblem) +
-                "\"");
+              "event=peer_facts_refused detail=\"" + Describe(aProblem) + "\"");
     });
 }
 
--- a/src/wasabiloom/daemon/TokenHostProgram.cpp
+++ b/src/wasabiloom/daemon/TokenHostProgram.cpp
@@ -42,15 +42,12 @@
   SetUpBufferedLog(aSettings.m_logLevel, log);
   LogLine(LogLevel::Info,
           "host",
-          "event=started host=" + aSettings.m_name +
-            " zone=" + aSettings.m_zone +
-            " packets=" + ToString(aSettings.m_packets) +
+          "event=started host=" + aSettings.m_name + " zone=" +
+            aSettings.m_zone + " packets=" + ToString(aSettings.m_packets) +
             " registry=" + ToString(aSettings.m_registry));
   const auto registry = aProgram.m_makeRegistry(aSettings.m_registry);
   TokenHostTask task(
-    aSettings,
-    { aProgram.m_codec, *registry, aProgram.m_readinessPath },
-    log);
+    aSettings, { aProgram.m_codec, *registry, aProgram.m_readinessPath }, log);
   SettingsWatch watch(aPath, [&](const std::string& aText) {
     base::Handle(
       [&]() -> base::Result<int> {
@@ -61,8 +58,7 @@
       [](const base::Problem& aProblem) {
         LogLine(LogLevel::Warn,
                 "host",
-                "event=settings_refused detail=\"" + Describe(aProblem) +
-                  "\"");
+                "event=settings_refused detail=\"" + Describe(aProblem) + "\"");
         return kExitFailure;
       });
   });
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -89,10 +89,10 @@
     m_host.OnPeerFacts(aFacts, Now());
     NoteReady();
   })
-  , m_server([this](const std::string& aPath,
-                    const HttpServer::Responder& aReply) {
-    aReply(Answer(aPath));
-  })
+  , m_server(
+      [this](const std::string& aPath, const HttpServer::Responder& aReply) {
+        aReply(Answer(aPath));
+      })
 {
   m_peers.SetPeers(PeersOf(m_settings));
   m_timer.setInterval(kTick);
@@ -285,7 +285,8 @@
 }
 
 void
-TokenHostTask::Send(const base::Endpoint& aTo, std::span<const std::byte> aBytes)
+TokenHostTask::Send(const base::Endpoint& aTo,
+                    std::span<const std::byte> aBytes)
 {
   m_socket->Send(
     { reinterpret_cast<const char*>(aBytes.data()), aBytes.size() }, aTo);
@@ -318,9 +319,8 @@
 void
 TokenHostTask::LogBelief(std::string_view aWhat, const std::string& aDetail)
 {
-  LogLine(LogLevel::Info,
-          "belief",
-          "event=" + std::string(aWhat) + " " + aDetail);
+  LogLine(
+    LogLevel::Info, "belief", "event=" + std::string(aWhat) + " " + aDetail);
 }
 
 void
--- a/src/wasabiloom/placing/Placer.cpp
+++ b/src/wasabiloom/placing/Placer.cpp
@@ -33,8 +33,7 @@
 LoadOf(const Candidate& aCandidate, base::Duration aMedian)
 {
   const double slots = std::max<std::uint32_t>(aCandidate.m_slots, 1);
-  const double requests =
-    aCandidate.m_busy + kOpenFlowLoad * aCandidate.m_open;
+  const double requests = aCandidate.m_busy + kOpenFlowLoad * aCandidate.m_open;
   double behind = 0;
   if (aMedian > base::Duration::zero()) {
     const double multiple = static_cast<double>(aCandidate.m_latency.count()) /
--- a/src/wasabiloom/placing/Placer.h
+++ b/src/wasabiloom/placing/Placer.h
@@ -62,8 +62,9 @@
 
 /// Chooses among `aCandidates`: not suspect before suspect, warm before cold,
 /// then the least load, where another zone counts as kZoneDistance more; ties
-/// fall by `aHash`, so that hosts which know the same spread differently. `aAvoid` is left out while there is another one; 0 for
-/// none. Empty when there is no candidate. Thread safe.
+/// fall by `aHash`, so that hosts which know the same spread differently.
+/// `aAvoid` is left out while there is another one; 0 for none. Empty when
+/// there is no candidate. Thread safe.
 std::optional<Placement>
 Place(std::span<const Candidate> aCandidates,
       std::uint32_t aAvoid,
--- a/src/wasabiloom/registry/Beliefs.cpp
+++ b/src/wasabiloom/registry/Beliefs.cpp
@@ -138,8 +138,7 @@
     return Outcome::Unchanged;
   }
   const bool saidFarewell = aBelief.m_server.m_state == ServerState::Draining;
-  SetPresence(
-    aBelief, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
+  SetPresence(aBelief, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
   IndexServices();
   return Outcome::Adopted;
 }
@@ -230,8 +229,8 @@
       SetPresence(belief, Presence::Gone, aNow);
       changed = true;
     }
-    const bool forget = !TakesFlows(belief.m_presence) &&
-                        aNow - belief.m_since > kForgetAfter;
+    const bool forget =
+      !TakesFlows(belief.m_presence) && aNow - belief.m_since > kForgetAfter;
     if (!forget) {
       ++entry;
       continue;
@@ -319,8 +318,7 @@
   }
   for (const auto& [name, zone] : m_zones) {
     if (zone.m_out) {
-      facts.push_back(
-        { FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
+      facts.push_back({ FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
     }
   }
   return facts;
--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -94,8 +94,7 @@
   server.m_slots = aValue.at("slots").get<std::uint32_t>();
   server.m_state = aValue.at("draining").get<bool>() ? ServerState::Draining
                                                      : ServerState::Ready;
-  server.m_coldFor =
-    base::Duration(aValue.at("cold_ns").get<std::int64_t>());
+  server.m_coldFor = base::Duration(aValue.at("cold_ns").get<std::int64_t>());
   return server;
 }
 
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -91,9 +91,8 @@
     RestartListing();
   }
   const std::uint32_t doublings = std::min(m_failures - 1, kMaxDoublings);
-  const base::Duration pause =
-    std::min(m_timing.m_firstPause * (1U << doublings),
-             m_timing.m_longestPause);
+  const base::Duration pause = std::min(
+    m_timing.m_firstPause * (1U << doublings), m_timing.m_longestPause);
   std::uniform_int_distribution<base::Duration::rep> jitter(pause.count() / 2,
                                                             pause.count());
   const base::Duration chosen{ jitter(m_random) };
@@ -114,6 +113,7 @@
   Take(aFacts.m_facts, aNow);
   m_beliefs.EndListing(aFacts.m_revision, found, aNow);
   m_revision = aFacts.m_revision;
+  m_learnedAt = aNow;
   if (!m_inCall) {
     m_listing = false;
     m_after.clear();
@@ -141,6 +141,7 @@
 Reader::NoteAnswer(std::uint64_t aRevision, base::Instant aNow)
 {
   m_answeredAt = aNow;
+  m_learnedAt = aNow;
   if (m_failures > 0 || !m_reached) {
     m_events.OnReachable(aRevision);
   }
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -98,6 +98,10 @@
   /// When the registry last answered.
   base::Instant AnsweredAt() const { return m_answeredAt; }
 
+  /// When the host last learned how things stand, from the registry or a
+  /// peer; the epoch when never.
+  base::Instant LearnedAt() const { return m_learnedAt; }
+
   /// Whether the last call failed.
   bool IsFailing() const { return m_failures > 0; }
 
@@ -120,6 +124,7 @@
   std::uint32_t m_failures = 0;
   base::Instant m_due;
   base::Instant m_answeredAt;
+  base::Instant m_learnedAt;
 };
 
 /// Least time between an answer and a call that was hurried.
--- a/src/wasabiloom/settings/TokenHostSettings.cpp
+++ b/src/wasabiloom/settings/TokenHostSettings.cpp
@@ -55,10 +55,9 @@
   BOOST_LEAF_AUTO(
     inTouch,
     aReader.NumberOr("in_touch_ms", 0, kMaxMilliseconds, kDefaultInTouchMs));
-  BOOST_LEAF_AUTO(
-    grace,
-    aReader.NumberOr(
-      "stop_grace_ms", 0, kMaxMilliseconds, kDefaultStopGraceMs));
+  BOOST_LEAF_AUTO(grace,
+                  aReader.NumberOr(
+                    "stop_grace_ms", 0, kMaxMilliseconds, kDefaultStopGraceMs));
   aSettings.m_zoneOut = Milliseconds(zoneOut);
   aSettings.m_inTouch = Milliseconds(inTouch);
   aSettings.m_stopGrace = Milliseconds(grace);
@@ -96,7 +95,8 @@
   BOOST_LEAF_ASSIGN(settings.m_registry, reader.EndpointAt("registry"));
   BOOST_LEAF_ASSIGN(settings.m_peers, ReadPeers(reader));
   BOOST_LEAF_AUTO(peerPort, reader.Integer("peer_port", 1, kMaxPort));
-  BOOST_LEAF_AUTO(metricsPort, reader.IntegerOr("metrics_port", 0, kMaxPort, 0));
+  BOOST_LEAF_AUTO(metricsPort,
+                  reader.IntegerOr("metrics_port", 0, kMaxPort, 0));
   settings.m_peerPort = static_cast<std::uint16_t>(peerPort);
   settings.m_metricsPort = static_cast<std::uint16_t>(metricsPort);
   BOOST_LEAF_CHECK(ReadBounds(reader, settings));
--- a/src/wasabiloom/token/Decision.cpp
+++ b/src/wasabiloom/token/Decision.cpp
@@ -6,10 +6,10 @@
 
 constexpr std::array<std::string_view, kReasons> kReasonNames = {
   "placed_least_load", "placed_only_cold", "placed_only_suspect",
-  "placed_again",       "same_as_before",   "token_known",
-  "not_learned_yet",    "no_route",         "route_dropped",
-  "no_server",          "token_unknown",    "server_gone",
-  "zone_out",           "hold_full",        "malformed",
+  "placed_again",      "same_as_before",   "token_known",
+  "not_learned_yet",   "no_route",         "route_dropped",
+  "no_server",         "token_unknown",    "server_gone",
+  "zone_out",          "hold_full",        "malformed",
 };
 
 constexpr std::array<std::string_view, 4> kActionNames = { "deliver",
--- a/src/wasabiloom/token/Decision.h
+++ b/src/wasabiloom/token/Decision.h
@@ -65,7 +65,7 @@
   /// Configuration in force, and revision of the registry known.
   std::uint64_t m_version = 0;
   std::uint64_t m_revision = 0;
-  /// Time since the registry last answered.
+  /// Time since the registry or a peer last told how things stand.
   base::Duration m_age{ 0 };
 };
 
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -43,13 +43,12 @@
                      " name=" + (aFact.m_name.empty() ? "-" : aFact.m_name) +
                      " revision=" + std::to_string(aFact.m_revision);
   if (const auto* server = std::get_if<registry::Server>(&aFact.m_content)) {
-    text +=
-      " service=" + server->m_service +
-      " address=" + ToString(server->m_address) + " zone=" + server->m_zone +
-      " state=" +
-      (server->m_state == ServerState::Draining ? "draining" : "ready") +
-      " born=" + std::to_string(server->m_born) + " token=" +
-      std::to_string(registry::MakeToken(server->m_id, server->m_born));
+    text += " service=" + server->m_service +
+            " address=" + ToString(server->m_address) +
+            " zone=" + server->m_zone + " state=" +
+            (server->m_state == ServerState::Draining ? "draining" : "ready") +
+            " born=" + std::to_string(server->m_born) + " token=" +
+            std::to_string(registry::MakeToken(server->m_id, server->m_born));
   } else if (const auto* configuration =
                std::get_if<registry::Configuration>(&aFact.m_content)) {
     text += " version=" + std::to_string(configuration->m_version) +
@@ -135,7 +134,7 @@
 bool
 TokenHost::DoubtsItself(base::Instant aNow) const
 {
-  return aNow - m_wokeAt < kWakeDoubt && m_reader.AnsweredAt() < m_wokeAt;
+  return aNow - m_wokeAt < kWakeDoubt && m_reader.LearnedAt() < m_wokeAt;
 }
 
 void
@@ -332,8 +331,8 @@
 TokenHost::IsCertainlyGone(const ServerBelief& aServer,
                            base::Instant aNow) const
 {
-  const bool isGone = aServer.m_presence == Presence::Gone &&
-                      aNow - aServer.m_since > kGoneGrace;
+  const bool isGone =
+    aServer.m_presence == Presence::Gone && aNow - aServer.m_since > kGoneGrace;
   const bool isSilent =
     aNow - m_suspicion.AliveAt(aServer.m_token) > kUnknownTokenGrace;
   return isGone && isSilent && !m_reader.IsFailing();
@@ -393,7 +392,9 @@
   decision.m_copy = aPacket.m_copy;
   decision.m_version = m_beliefs.InForce().m_version;
   decision.m_revision = m_reader.Revision();
-  decision.m_age = aNow - m_reader.AnsweredAt();
+  const bool hasLearned = m_reader.LearnedAt() != base::Instant{};
+  decision.m_age =
+    hasLearned ? aNow - m_reader.LearnedAt() : base::Duration::zero();
   return decision;
 }
 
@@ -423,14 +424,13 @@
 registry::ReaderCall
 TokenHost::NextCall(base::Instant aNow)
 {
-  const registry::ReaderCall call = m_reader.Next(aNow);
+  registry::ReaderCall call = m_reader.Next(aNow);
   m_totals.m_calls += call.m_kind == registry::ReaderCall::Kind::None ? 0 : 1;
   return call;
 }
 
 void
-TokenHost::OnListAnswer(const registry::ListAnswer& aAnswer,
-                        base::Instant aNow)
+TokenHost::OnListAnswer(const registry::ListAnswer& aAnswer, base::Instant aNow)
 {
   if (const auto* page = std::get_if<registry::Page>(&aAnswer)) {
     m_reader.OnPage(*page, aNow);
@@ -524,10 +524,9 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aPause);
   m_effects.LogBelief(
     "registry_call_failed",
-    "code=" + std::to_string(static_cast<int>(aFailure.m_code)) +
-      " failures=" + std::to_string(aFailures) +
-      " pause_ms=" + std::to_string(pause.count()) + " detail=\"" +
-      aFailure.m_detail + "\"");
+    "code=" + std::to_string(static_cast<int>(aFailure.m_code)) + " failures=" +
+      std::to_string(aFailures) + " pause_ms=" + std::to_string(pause.count()) +
+      " detail=\"" + aFailure.m_detail + "\"");
 }
 
 void
--- /dev/null
+++ b/standins/Store.cpp
@@ -0,0 +1,247 @@
+/// Stand-in for the users' store: serves the files of a folder as items, read
+/// and watch only, over HTTP. A file's path below the folder is its key. The
+/// file `.faults` in that folder makes it misbehave: `down` answers 503,
+/// `silent` never answers, `forget` drops the history once.
+
+#include "Support.h"
+
+#include "wasabiloom/daemon/HttpServer.h"
+#include "wasabiloom/daemon/SignalWatch.h"
+
+#include <QCoreApplication>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <sstream>
+
+namespace {
+
+namespace options = boost::program_options;
+
+using nlohmann::json;
+using wasabiloom::daemon::HttpReply;
+using wasabiloom::daemon::HttpServer;
+
+constexpr int kPollMs = 20;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kPageItems = 50;
+
+std::string
+ReadWhole(const std::filesystem::path& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+HttpReply
+Reply(const json& aBody)
+{
+  return { 200, "application/json", aBody.dump() };
+}
+
+/// The items of the folder, with a history of changes.
+class Store
+{
+public:
+  explicit Store(std::string aFolder)
+    : m_folder(std::move(aFolder))
+  {
+  }
+
+  /// Looks for changed files; answers the watches that wait for them.
+  void Poll()
+  {
+    const std::string faults = ReadWhole(m_folder + "/.faults");
+    m_down = faults.starts_with("down");
+    m_silent = faults.starts_with("silent");
+    if (faults.starts_with("forget") && !m_hasForgotten) {
+      m_history.clear();
+      m_historyFrom = m_revision;
+    }
+    m_hasForgotten = faults.starts_with("forget");
+    Compare(ReadFolder());
+    AnswerWatches();
+  }
+
+  void Answer(const std::string& aTarget, const HttpServer::Responder& aReply)
+  {
+    const QUrl url(QString::fromStdString(aTarget));
+    const QUrlQuery query(url);
+    if (m_silent) {
+      return;
+    }
+    if (m_down) {
+      aReply({ kUnavailable, "text/plain", "" });
+    } else if (url.path() == "/kv-range") {
+      aReply(List(Value(query, "Prefix"), Value(query, "after")));
+    } else if (url.path() == "/kv-watch") {
+      m_watches.push_back({ Value(query, "Prefix"),
+                            std::stoull("0" + Value(query, "after")),
+                            std::stoll("0" + Value(query, "WaitMs")) / kPollMs,
+                            aReply });
+      AnswerWatches();
+    } else {
+      aReply({ 404, "text/plain", "" });
+    }
+  }
+
+private:
+  struct Item
+  {
+    std::string m_value;
+    std::uint64_t m_revision = 0;
+  };
+
+  struct Watch
+  {
+    std::string m_prefix;
+    std::uint64_t m_after = 0;
+    std::int64_t m_polls = 0;
+    HttpServer::Responder m_reply;
+  };
+
+  static std::string Value(const QUrlQuery& aQuery, const char* aName)
+  {
+    return aQuery.queryItemValue(aName, QUrl::FullyDecoded).toStdString();
+  }
+
+  static json Write(const std::string& aKey, const Item& aItem)
+  {
+    const auto value = QByteArray::fromStdString(aItem.m_value).toBase64();
+    return { { "Key", aKey },
+             { "Value", value.toStdString() },
+             { "Revision", aItem.m_revision },
+             { "CreateRevision", aItem.m_revision },
+             { "Lease", 0 } };
+  }
+
+  std::map<std::string, std::string> ReadFolder() const
+  {
+    std::map<std::string, std::string> values;
+    for (const auto& entry :
+         std::filesystem::recursive_directory_iterator(m_folder)) {
+      const std::string key =
+        std::filesystem::relative(entry.path(), m_folder).string();
+      if (entry.is_regular_file() && key != ".faults") {
+        values[key] = ReadWhole(entry.path());
+      }
+    }
+    return values;
+  }
+
+  void Compare(const std::map<std::string, std::string>& aValues)
+  {
+    for (const auto& [key, value] : aValues) {
+      const auto known = m_items.find(key);
+      if (known == m_items.end() || known->second.m_value != value) {
+        m_items[key] = { value, ++m_revision };
+        m_history.push_back(Write(key, m_items[key]));
+      }
+    }
+    std::erase_if(m_items, [&](const auto& aItem) {
+      if (aValues.contains(aItem.first)) {
+        return false;
+      }
+      m_history.push_back({ { "Key", aItem.first },
+                            { "Revision", ++m_revision },
+                            { "Removed", true } });
+      return true;
+    });
+  }
+
+  HttpReply List(const std::string& aPrefix, const std::string& aAfter) const
+  {
+    json items = json::array();
+    bool hasMore = false;
+    for (auto item = m_items.upper_bound(aAfter); item != m_items.end();
+         ++item) {
+      if (!item->first.starts_with(aPrefix)) {
+        continue;
+      }
+      hasMore = items.size() == kPageItems;
+      if (hasMore) {
+        break;
+      }
+      items.push_back(Write(item->first, item->second));
+    }
+    return Reply({ { "items", items },
+                   { "HasMore", hasMore },
+                   { "StoreRevision", m_revision } });
+  }
+
+  void AnswerWatches()
+  {
+    std::vector<Watch> waiting;
+    waiting.swap(m_watches);
+    for (Watch& watch : waiting) {
+      json events = json::array();
+      for (const json& event : m_history) {
+        const bool isNew = event["Revision"] > watch.m_after;
+        const auto key = event["Key"].get<std::string>();
+        if (isNew && key.starts_with(watch.m_prefix)) {
+          events.push_back(event);
+        }
+      }
+      if (watch.m_after < m_historyFrom) {
+        watch.m_reply({ kGone, "text/plain", "" });
+      } else if (!events.empty() || watch.m_polls-- <= 0) {
+        watch.m_reply(
+          Reply({ { "events", events }, { "StoreRevision", m_revision } }));
+      } else {
+        m_watches.push_back(std::move(watch));
+      }
+    }
+  }
+
+  std::string m_folder;
+  std::map<std::string, Item> m_items;
+  std::vector<json> m_history;
+  std::uint64_t m_historyFrom = 0;
+  std::uint64_t m_revision = 1;
+  std::vector<Watch> m_watches;
+  bool m_down = false;
+  bool m_silent = false;
+  bool m_hasForgotten = false;
+};
+
+int
+Serve(int aCount, char** aWords)
+{
+  QCoreApplication application(aCount, aWords);
+  options::options_description known("standin_store: the users' store");
+  known.add_options()("listen", options::value<std::string>()->required())(
+    "folder", options::value<std::string>()->required());
+  const standins::Options chosen(aCount, aWords, known);
+  const wasabiloom::daemon::SignalWatch signalWatch(
+    [] { QCoreApplication::quit(); });
+  Store store(chosen.Text("folder"));
+  store.Poll();
+  HttpServer server(
+    [&](const std::string& aTarget, const HttpServer::Responder& aReply) {
+      store.Answer(aTarget, aReply);
+    });
+  standins::Need([&]() -> wasabiloom::base::Result<void> {
+    return server.Listen(chosen.Address("listen"));
+  });
+  QTimer timer;
+  QObject::connect(&timer, &QTimer::timeout, [&] { store.Poll(); });
+  timer.start(kPollMs);
+  return QCoreApplication::exec();
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  return standins::RunMain("standin_store", [&] { return Serve(argc, argv); });
+}
--- a/standins/Support.cpp
+++ b/standins/Support.cpp
@@ -64,6 +64,12 @@
   }
 }
 
+void
+Need(const std::function<wasabiloom::base::Result<void>()>& aBody)
+{
+  wasabiloom::base::Handle(aBody, Throw<void>);
+}
+
 std::string
 ReadFileOrThrow(const std::string& aPath)
 {
@@ -74,8 +80,7 @@
 void
 WriteFileOrThrow(const std::string& aPath, const std::string& aContent)
 {
-  wasabiloom::base::Handle(
-    [&] { return wasabiloom::base::WriteFile(aPath, aContent); }, Throw<void>);
+  Need([&] { return wasabiloom::base::WriteFile(aPath, aContent); });
 }
 
 std::vector<HostLine>
--- a/standins/Support.h
+++ b/standins/Support.h
@@ -39,6 +39,10 @@
 int
 RunMain(const char* aName, const std::function<int()>& aMain);
 
+/// Runs `aBody`; throws std::runtime_error when it fails.
+void
+Need(const std::function<wasabiloom::base::Result<void>()>& aBody);
+
 /// Content of a file; throws std::runtime_error when it cannot be read.
 std::string
 ReadFileOrThrow(const std::string& aPath);
--- a/tests/processes.sh
+++ b/tests/processes.sh
@@ -5,33 +5,7 @@
 set -uo pipefail
 build=$1
 work=$(mktemp -d)
-declare -A pids
-cleanup() {
-  local pid
-  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null; done
-  rm -rf "$work"
-}
-trap cleanup EXIT
-start() { # NAME COMMAND...
-  local name=$1
-  shift
-  "$@" >"$work/$name.out" 2>&1 &
-  pids[$name]=$!
-}
-fail() {
-  echo "FAILED: $*"
-  cat "$work"/*.out | tail -40
-  exit 1
-}
-await() { # WHAT COMMAND...: polls for as long as the test may run
-  local what=$1 tries=0
-  shift
-  until "$@" >/dev/null 2>&1; do
-    tries=$((tries + 1))
-    ((tries < 1200)) || fail "never saw: $what"
-    sleep 0.05
-  done
-}
+source "$(dirname "$0")/support/processes.sh"
 cli=$build/apps/wasabiloom
 host=127.77.0.1
 control=$host:6084
@@ -103,10 +77,6 @@
 # The platform goes away: the host serves on. A graceful stop ends with 0.
 kill "${pids[config]}" "${pids[list]}"
 status_has "ready=1 bundle=4" || fail "the host gave up without the platform"
-kill "${pids[daemon]}"
-wait "${pids[daemon]}"
-code=$?
-unset "pids[daemon]"
-[[ $code == 0 ]] || fail "the daemon ended with $code"
+stop daemon
 logged "event=stopped" || fail "no last line"
 echo "processes: all steps held"
--- a/tests/support/Registry.cpp
+++ b/tests/support/Registry.cpp
@@ -6,16 +6,18 @@
 using registry::FactKind;
 
 registry::Server
-MakeServer(const std::string& aId, const std::string& aZone, std::uint64_t aBorn)
+MakeServer(const std::string& aId,
+           const std::string& aZone,
+           std::uint64_t aBorn)
 {
   registry::Server server;
   server.m_id = aId;
   server.m_number = std::stoull(aId.substr(aId.find('-') + 1), nullptr, 16);
   server.m_born = aBorn;
   server.m_service = "desk";
-  server.m_address = { { static_cast<std::uint32_t>(0x0a800000 +
-                                                    server.m_number) },
-                       8080 };
+  server.m_address = {
+    { static_cast<std::uint32_t>(0x0a800000 + server.m_number) }, 8080
+  };
   server.m_zone = aZone;
   server.m_slots = 2;
   return server;
--- a/tests/unit/BeliefsTests.cpp
+++ b/tests/unit/BeliefsTests.cpp
@@ -178,8 +178,8 @@
     }
   }
   std::vector<std::vector<std::string>> owners;
-  for (const auto& order : { std::vector{ first, second },
-                             std::vector{ second, first } }) {
+  for (const auto& order :
+       { std::vector{ first, second }, std::vector{ second, first } }) {
     Beliefs beliefs;
     std::uint64_t revision = 1;
     for (const std::string& id : order) {
@@ -206,9 +206,8 @@
   here.Apply(ServerFact(MakeServer("i-2"), 4), At(0));
   here.Apply(RemovedFact(FactKind::Server, "i-2", 5), At(0));
   here.Apply(ZoneOutFact("b", 6), At(0));
-  here.EndListing(6,
-                  { { FactKind::Server, "i-1" }, { FactKind::ZoneOut, "b" } },
-                  At(0));
+  here.EndListing(
+    6, { { FactKind::Server, "i-1" }, { FactKind::ZoneOut, "b" } }, At(0));
   Beliefs there;
   for (const auto& fact : here.ToFacts()) {
     there.Apply(fact, At(0));
--- a/tests/unit/DatagramCodecTests.cpp
+++ b/tests/unit/DatagramCodecTests.cpp
@@ -82,8 +82,7 @@
 {
   const DatagramCodec codec;
   Out out;
-  const auto length =
-    codec.WriteReset(codec.Parse(kOpening).m_packet, out);
+  const auto length = codec.WriteReset(codec.Parse(kOpening).m_packet, out);
   EXPECT_EQ(Bytes(out.begin(), out.begin() + length), kReset);
 
   Section("on an open flow it carries what the caller acknowledged", [&] {
--- a/tests/unit/FactDecoderTests.cpp
+++ b/tests/unit/FactDecoderTests.cpp
@@ -64,8 +64,7 @@
 WhyUnusable(const std::string& aKey, const std::string& aValue)
 {
   const auto fact = DecodeValue(aKey, aValue, 3);
-  const auto* unusable =
-    std::get_if<registry::Unusable>(&fact.m_content);
+  const auto* unusable = std::get_if<registry::Unusable>(&fact.m_content);
   return unusable == nullptr ? "usable" : unusable->m_reason;
 }
 
@@ -106,9 +105,11 @@
     EXPECT_NE(WhyUnusable("servers/i-1", odd.dump()), "usable") << field;
   }
   const std::map<std::string, json> values = {
-    { "State", "asleep" },  { "Address", "nowhere:1" }, { "Address", "1.2.3.4" },
-    { "Slots", 0 },         { "Slots", -3 },            { "Slots", 1.5 },
-    { "born", 1.5 },        { "Service", "" },          { "Zone", "" },
+    { "State", "asleep" },    { "Address", "nowhere:1" },
+    { "Address", "1.2.3.4" }, { "Slots", 0 },
+    { "Slots", -3 },          { "Slots", 1.5 },
+    { "born", 1.5 },          { "Service", "" },
+    { "Zone", "" },
   };
   for (const auto& [field, value] : values) {
     json entry = Entry();
@@ -129,9 +130,9 @@
   EXPECT_EQ(read.m_version, 7U);
   ASSERT_EQ(read.m_routes.size(), 2U);
   EXPECT_EQ(ToString(read.m_routes[0].m_address), "198.18.0.1:8443");
-  EXPECT_EQ(read.m_routes[0].m_shares,
-            (std::vector<registry::ServiceShare>{ { "desk", 90 },
-                                                  { "vault", 10 } }));
+  EXPECT_EQ(
+    read.m_routes[0].m_shares,
+    (std::vector<registry::ServiceShare>{ { "desk", 90 }, { "vault", 10 } }));
   EXPECT_EQ(read.m_routes[1].m_shares,
             (std::vector<registry::ServiceShare>{ { "vault", 1 } }));
   EXPECT_EQ(read.m_services[0].m_coldFlowsPerSecond, 4.5);
@@ -174,8 +175,7 @@
         Item("servers/i-2", "junk", 13) } },
     { "StoreRevision", 13 },
   };
-  const auto watch =
-    std::get<registry::Changes>(DecodeWatch(changes.dump()));
+  const auto watch = std::get<registry::Changes>(DecodeWatch(changes.dump()));
   ASSERT_EQ(watch.m_facts.size(), 2U);
   EXPECT_TRUE(
     std::holds_alternative<registry::Removed>(watch.m_facts[0].m_content));
@@ -195,21 +195,21 @@
 
 TEST(FactDecoder, RefusesAnswersThatAreNone)
 {
-  for (const char* body : { "",
-                            "{",
-                            "[]",
-                            "{}",
-                            R"({"items":3,"HasMore":false,"StoreRevision":1})",
-                            R"({"items":[3],"HasMore":false,"StoreRevision":1})",
-                            R"({"items":[],"HasMore":1,"StoreRevision":1})",
-                            R"({"items":[],"HasMore":false,"StoreRevision":"1"})" }) {
+  for (const char* body :
+       { "",
+         "{",
+         "[]",
+         "{}",
+         R"({"items":3,"HasMore":false,"StoreRevision":1})",
+         R"({"items":[3],"HasMore":false,"StoreRevision":1})",
+         R"({"items":[],"HasMore":1,"StoreRevision":1})",
+         R"({"items":[],"HasMore":false,"StoreRevision":"1"})" }) {
     const auto answer = DecodeRange(body);
     ASSERT_TRUE(std::holds_alternative<registry::CallFailure>(answer)) << body;
     EXPECT_EQ(std::get<registry::CallFailure>(answer).m_code,
               ResultCode::RegistryMalformed);
   }
-  EXPECT_TRUE(
-    std::holds_alternative<registry::CallFailure>(DecodeWatch("{}")));
+  EXPECT_TRUE(std::holds_alternative<registry::CallFailure>(DecodeWatch("{}")));
 }
 
 RC_GTEST_PROP(FactDecoder, SurvivesAnyValue, (const std::string& aValue))
--- a/tests/unit/FactsCodecTests.cpp
+++ b/tests/unit/FactsCodecTests.cpp
@@ -19,11 +19,11 @@
 {
   auto server = MakeServer("i-1");
   server.m_coldFor = std::chrono::milliseconds(700);
-  return { { ConfigurationFact(3, 4),
-             ServerFact(server, 5),
-             ZoneOutFact("b", 6) },
-           "",
-           9 };
+  return {
+    { ConfigurationFact(3, 4), ServerFact(server, 5), ZoneOutFact("b", 6) },
+    "",
+    9
+  };
 }
 
 } // namespace
--- a/tests/unit/HttpTests.cpp
+++ b/tests/unit/HttpTests.cpp
@@ -14,7 +14,6 @@
 
 using daemon::HttpAnswer;
 using daemon::HttpClient;
-using daemon::HttpReply;
 using daemon::HttpServer;
 using std::chrono::milliseconds;
 using testing::HasSubstr;
@@ -61,9 +60,8 @@
 Ask(HttpClient& aClient, milliseconds aTimeout = kTimeout)
 {
   std::optional<HttpAnswer> answer;
-  aClient.Get("/x", aTimeout, [&](const HttpAnswer& aAnswer) {
-    answer = aAnswer;
-  });
+  aClient.Get(
+    "/x", aTimeout, [&](const HttpAnswer& aAnswer) { answer = aAnswer; });
   EXPECT_TRUE(RunUntil([&] { return answer.has_value(); }));
   return answer.value_or(HttpAnswer{});
 }
@@ -82,18 +80,18 @@
 
 TEST(HttpClient, ReadsWholeAnswers)
 {
-  EXPECT_EQ(AskOnce("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false)
-              .m_body,
-            "abc");
+  EXPECT_EQ(
+    AskOnce("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc", false).m_body,
+    "abc");
   EXPECT_EQ(AskOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                     "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
                     false)
               .m_body,
             "abc");
   EXPECT_EQ(AskOnce("HTTP/1.1 200 OK\r\n\r\nabc", true).m_body, "abc");
-  EXPECT_EQ(AskOnce("HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", false)
-              .m_status,
-            410);
+  EXPECT_EQ(
+    AskOnce("HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", false).m_status,
+    410);
 }
 
 TEST(HttpClient, RefusesAnswersThatAreCutMalformedOrTooLarge)
@@ -168,9 +166,8 @@
   });
   HttpClient client(address);
   std::optional<HttpAnswer> answer;
-  client.Get("/x", kTimeout, [&](const HttpAnswer& aAnswer) {
-    answer = aAnswer;
-  });
+  client.Get(
+    "/x", kTimeout, [&](const HttpAnswer& aAnswer) { answer = aAnswer; });
   ASSERT_TRUE(RunUntil([&] { return later != nullptr; }));
   EXPECT_FALSE(answer);
   later({ 200, "text/plain", "done" });
--- a/tests/unit/PlacingTests.cpp
+++ b/tests/unit/PlacingTests.cpp
@@ -153,7 +153,8 @@
       views[aRequest.m_host][aRequest.m_server].m_busy -= ends ? 1 : 0;
       return ends;
     });
-    const bool arrives = base::Mix(static_cast<std::uint64_t>(now) + 1) % 4 == 0;
+    const bool arrives =
+      base::Mix(static_cast<std::uint64_t>(now) + 1) % 4 == 0;
     if (!arrives) {
       continue;
     }
@@ -192,9 +193,8 @@
   EXPECT_TRUE(suspicion.IsSuspect(1, At(1)));
   EXPECT_FALSE(suspicion.IsSuspect(2, At(1)));
 
-  Section("it ends by itself, so that nobody is shut out for good", [&] {
-    EXPECT_FALSE(suspicion.IsSuspect(1, At(2)));
-  });
+  Section("it ends by itself, so that nobody is shut out for good",
+          [&] { EXPECT_FALSE(suspicion.IsSuspect(1, At(2))); });
   Section("it lasts longer each time", [&] {
     suspicion.OnUnanswered(1, At(2));
     EXPECT_TRUE(suspicion.IsSuspect(1, At(4.5)));
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -156,8 +156,7 @@
   EXPECT_EQ(reader.Next(At(4)).m_kind, Kind::List);
   reader.OnPage({ { ConfigurationFact(1, 1) }, "", 30 }, At(4));
   EXPECT_EQ(reader.Revision(), 30U);
-  const auto* lost =
-    setup.m_beliefs.FindToken(MakeToken("i-1", 1));
+  const auto* lost = setup.m_beliefs.FindToken(MakeToken("i-1", 1));
   EXPECT_EQ(lost->m_presence, Presence::Lapsed);
 }
 
@@ -170,6 +169,8 @@
   EXPECT_TRUE(reader.OnPeerFacts(peer, At(0)));
   EXPECT_TRUE(setup.m_beliefs.IsComplete());
   EXPECT_FALSE(reader.OnPeerFacts(peer, At(0)));
+  EXPECT_EQ(reader.LearnedAt(), At(0));
+  EXPECT_EQ(reader.AnsweredAt(), base::Instant{});
 
   Section("the registry's own listing still counts", [&] {
     reader.OnPage({ { ConfigurationFact(4, 21) }, "", 22 }, At(1));
@@ -177,8 +178,8 @@
     EXPECT_EQ(reader.Next(At(1)).m_revision, 22U);
   });
   Section("an older listing takes nothing back", [&] {
-    EXPECT_FALSE(reader.OnPeerFacts({ { ConfigurationFact(2, 2) }, "", 21 },
-                                    At(2)));
+    EXPECT_FALSE(
+      reader.OnPeerFacts({ { ConfigurationFact(2, 2) }, "", 21 }, At(2)));
     EXPECT_EQ(setup.m_beliefs.InForce().m_version, 4U);
   });
 }
--- a/tests/unit/TokenHostSettingsTests.cpp
+++ b/tests/unit/TokenHostSettingsTests.cpp
@@ -24,8 +24,8 @@
 
 TEST(TokenHostSettings, AreReadWithDefaults)
 {
-  const auto read = ValueOf(
-    [] { return ReadTokenHostSettings(Settings(",\"peers\":[]")); });
+  const auto read =
+    ValueOf([] { return ReadTokenHostSettings(Settings(",\"peers\":[]")); });
   EXPECT_EQ(read.m_name, "h");
   EXPECT_EQ(read.m_metricsPort, 0);
   EXPECT_EQ(read.m_zoneOut, std::chrono::seconds(5));
@@ -73,8 +73,8 @@
       "log_level" },
   };
   for (const Case& each : cases) {
-    const auto problem = ProblemOf(
-      [&] { return ReadTokenHostSettings(Settings(each.m_more)); });
+    const auto problem =
+      ProblemOf([&] { return ReadTokenHostSettings(Settings(each.m_more)); });
     EXPECT_EQ(problem.m_code, each.m_code) << each.m_more;
     EXPECT_THAT(problem.m_detail, HasSubstr(each.m_detail)) << each.m_more;
   }
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -13,7 +13,6 @@
 using base::Endpoint;
 using registry::FactKind;
 using registry::MakeToken;
-using registry::ReaderCall;
 
 namespace {
 
@@ -116,7 +115,8 @@
     RunUntil(aSeconds);
     const std::size_t before = m_effects.m_to.size();
     m_host.OnPacket(Write(aSent), At(aSeconds));
-    return m_effects.m_to.size() == before ? "" : ToString(m_effects.m_to.back());
+    return m_effects.m_to.size() == before ? ""
+                                           : ToString(m_effects.m_to.back());
   }
 
   bool GotReset() const
@@ -164,7 +164,8 @@
   EXPECT_EQ(ToString(m_effects.m_to[0]), kServer1);
 
   Section("but not for ever, nor without bound", [&] {
-    TokenHost other({ "h", "a", kReturnPort, {} }, m_timing, 1, m_codec, m_effects);
+    TokenHost other(
+      { "h", "a", kReturnPort, {} }, m_timing, 1, m_codec, m_effects);
     for (std::size_t i = 0; i < 2 * kMaxHeld; ++i) {
       other.OnPacket(Write({}), At(0));
     }
@@ -237,9 +238,8 @@
   Learn({ MakeServer("i-1"), MakeServer("i-2") });
   const std::string first = Give({}, 1);
 
-  Section("the fabric's duplicate goes to the same server", [&] {
-    EXPECT_EQ(Give({}, 1.01), first);
-  });
+  Section("the fabric's duplicate goes to the same server",
+          [&] { EXPECT_EQ(Give({}, 1.01), first); });
   Section("the caller's copy to another, which then is preferred", [&] {
     Sent copy;
     copy.m_acknowledged = 1;
@@ -307,9 +307,8 @@
   EXPECT_EQ(Give(Data("i-1"), 1), kServer1);
   Change({ RemovedFact(FactKind::Server, "i-1", 20) }, 2);
 
-  Section("not while the entry may come back", [&] {
-    EXPECT_EQ(Give(Data("i-1"), 4), kServer1);
-  });
+  Section("not while the entry may come back",
+          [&] { EXPECT_EQ(Give(Data("i-1"), 4), kServer1); });
   Section("not while callers hear from the server", [&] {
     Sent progress = Data("i-1");
     progress.m_acknowledged = 20;
@@ -355,9 +354,8 @@
   m_host.OnPacket(Write({}), At(5));
   EXPECT_EQ(m_effects.m_to.size(), before);
 
-  Section("open flows go on", [&] {
-    EXPECT_EQ(Give(Data("i-1"), 5.05), kServer1);
-  });
+  Section("open flows go on",
+          [&] { EXPECT_EQ(Give(Data("i-1"), 5.05), kServer1); });
   Section("new ones go by the news", [&] {
     Change({ ZoneOutFact("a", 20) }, 5.1);
     EXPECT_EQ(ToString(m_effects.m_to.back()), kServer2);
