A repetition is no sign of life; a lapsed entry with unanswered callers is believed

And the first packet of a flow that opened at another host counted as a sign of life though it may be a repetition. Change: such a packet counts for nothing; a lapsed entry, no sign for 2.5 s and doubt from callers' packets together are certainty. Ruled out: resetting on the lapse alone (entries lapse while the store is down).

--- a/src/wasabiloom/token/FlowMemory.h
+++ b/src/wasabiloom/token/FlowMemory.h
@@ -16,7 +16,9 @@
   std::uint32_t m_token = 0;
   std::uint32_t m_sequence = 0;
   std::uint32_t m_acknowledged = 0;
-  /// Whether the caller has heard from the server.
+  /// Whether this host saw the opening packet.
+  bool m_opened = false;
+  /// Whether a packet after the opening one was seen.
   bool m_answered = false;
   /// Whether the first packet that could not be delivered was reported.
   bool m_reported = false;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -194,6 +194,7 @@
   const ServerBelief& server = *m_beliefs.FindToken(placement->m_token);
   if (record != nullptr) {
     record->m_seenAt = aNow;
+    record->m_opened = true;
     m_flows.Assign(*record, server.m_token);
   }
   decision.m_reason =
@@ -225,6 +226,7 @@
   }
   FlowRecord* record = m_flows.FindOrAdd(aPacket.m_flow, aNow);
   if (record != nullptr) {
+    record->m_answered &= record->m_token == server->m_token;
     m_flows.Assign(*record, server->m_token);
     NoteProgress(aPacket, *record, aNow);
   }
@@ -253,13 +255,18 @@
                         base::Instant aNow)
 {
   const bool isFirst = !aRecord.m_answered;
+  // The first packet of a flow that opened elsewhere may be a repetition: it
+  // speaks neither for the server nor against it.
   const bool heard =
-    isFirst || IsAfter(aPacket.m_acknowledged, aRecord.m_acknowledged);
+    isFirst ? aRecord.m_opened
+            : IsAfter(aPacket.m_acknowledged, aRecord.m_acknowledged);
   const bool repeats = !isFirst && aPacket.m_payloadBytes > 0 && !heard &&
                        !IsAfter(aPacket.m_sequence, aRecord.m_sequence);
+  if (heard || isFirst) {
+    aRecord.m_acknowledged = aPacket.m_acknowledged;
+  }
   if (heard) {
     m_suspicion.OnAlive(aPacket.m_token, aNow);
-    aRecord.m_acknowledged = aPacket.m_acknowledged;
   } else if (repeats) {
     m_suspicion.OnStall(aPacket.m_token, aNow);
   }
@@ -331,11 +338,13 @@
 TokenHost::IsCertainlyGone(const ServerBelief& aServer,
                            base::Instant aNow) const
 {
-  const bool isGone =
-    aServer.m_presence == Presence::Gone && aNow - aServer.m_since > kGoneGrace;
+  const bool isGone = aServer.m_presence == Presence::Gone &&
+                      aNow - aServer.m_since > kGoneGrace;
+  const bool isMissed = aServer.m_presence == Presence::Lapsed &&
+                        m_suspicion.IsSuspect(aServer.m_token, aNow);
   const bool isSilent =
-    aNow - m_suspicion.AliveAt(aServer.m_token) > kUnknownTokenGrace;
-  return isGone && isSilent && !m_reader.IsFailing();
+    aNow - m_suspicion.AliveAt(aServer.m_token) > kSilentForCertainty;
+  return (isGone || isMissed) && isSilent && !m_reader.IsFailing();
 }
 
 void
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -43,8 +43,10 @@
 /// token for so long.
 constexpr base::Duration kUnknownTokenGrace = std::chrono::seconds(3);
 
-/// A flow is reset when its server has been gone, and silent, for so long.
+/// A flow is reset when its server has been gone for so long, or has lapsed
+/// and leaves callers unanswered, and no caller heard from it lately.
 constexpr base::Duration kGoneGrace = std::chrono::milliseconds(500);
+constexpr base::Duration kSilentForCertainty = std::chrono::milliseconds(2500);
 
 /// A flow silent for longer does not count as load.
 constexpr base::Duration kLoadIdle = std::chrono::seconds(4);
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -322,6 +322,58 @@
   });
 }
 
+TEST_F(TokenHostTest, BelievesALapsedEntryWhenCallersGoUnanswered)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2") });
+  const std::string placed = Give({}, 1);
+  const std::string dark = placed == kServer1 ? "i-1" : "i-2";
+  EXPECT_EQ(Give(Data(dark), 1.1), placed);
+  Change({ RemovedFact(FactKind::Server, dark, 20) }, 4);
+
+  Section("not on the registry's word alone", [&] {
+    EXPECT_EQ(Give(Data(dark), 4.1), placed);
+  });
+  Section("but when callers repeat themselves as well", [&] {
+    Sent other = Data(dark);
+    other.m_callerPort = 40002;
+    EXPECT_EQ(Give(other, 4.2), placed) << "opened elsewhere, may be new";
+    EXPECT_EQ(Give(other, 4.4), kCaller);
+    EXPECT_EQ(m_effects.m_reason, Reason::ServerGone);
+    EXPECT_EQ(Give(Data(dark), 4.5), kCaller);
+  });
+}
+
+TEST_F(TokenHostTest, TakesNoRepetitionForASignOfLife)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2") });
+  const std::string placed = Give({}, 1);
+  const std::string dark = placed == kServer1 ? "i-1" : "i-2";
+  Sent copy;
+  copy.m_acknowledged = 1;
+  const std::string elsewhere = Give(copy, 1.2);
+  EXPECT_NE(elsewhere, placed);
+
+  // A flow that this host never saw opening turns up, repeated or not.
+  Sent adopted = Data(dark);
+  adopted.m_callerPort = 40002;
+  EXPECT_EQ(Give(adopted, 1.3), placed);
+  Sent open;
+  open.m_callerPort = 40003;
+  EXPECT_EQ(Give(open, 1.4), elsewhere) << "still in doubt";
+
+  Section("its progress is one", [&] {
+    adopted.m_acknowledged = 30;
+    EXPECT_EQ(Give(adopted, 1.5), placed);
+    adopted.m_sequence = 12;
+    bool isBack = false;
+    for (std::uint16_t port = 41000; port < 41020; ++port) {
+      open.m_callerPort = port;
+      isBack = isBack || Give(open, 1.6) == placed;
+    }
+    EXPECT_TRUE(isBack);
+  });
+}
+
 TEST_F(TokenHostTest, LeavesARestartedServerToAnswerForItsOldFlows)
 {
   Learn({ MakeServer("i-1", "a", 100) });
