A zone that callers don't hear from is avoided

Change: two unanswered packets to servers of another zone, with no sign of life from it, put the whole zone in doubt, as for a server; the own zone never.

--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -29,6 +29,13 @@
   return Reason::PlacedLeastLoad;
 }
 
+/// What names a zone to Suspicion.
+std::uint32_t
+ZoneKey(const std::string& aZone)
+{
+  return static_cast<std::uint32_t>(base::HashText(aZone));
+}
+
 /// Whether `aLater` comes after `aEarlier` among numbers that wrap around.
 bool
 IsAfter(std::uint32_t aLater, std::uint32_t aEarlier)
@@ -182,6 +189,9 @@
     }
     avoid = record->m_token;
     m_suspicion.OnUnanswered(avoid, aNow);
+    if (before != nullptr) {
+      DoubtZone(*before, aNow);
+    }
   }
   const auto placement =
     placing::Place(CandidatesOf(decision.m_service, aNow), avoid, hash);
@@ -228,7 +238,7 @@
   if (record != nullptr) {
     record->m_answered &= record->m_token == server->m_token;
     m_flows.Assign(*record, server->m_token);
-    NoteProgress(aPacket, *record, aNow);
+    NoteProgress(aPacket, *server, *record, aNow);
   }
   const auto zoneOut = m_beliefs.ZoneOutSince(server->m_server.m_zone);
   if (zoneOut && aNow - *zoneOut > m_identity.m_zoneOutGrace) {
@@ -251,6 +261,7 @@
 
 void
 TokenHost::NoteProgress(const TokenPacket& aPacket,
+                        const ServerBelief& aServer,
                         FlowRecord& aRecord,
                         base::Instant aNow)
 {
@@ -267,8 +278,10 @@
   }
   if (heard) {
     m_suspicion.OnAlive(aPacket.m_token, aNow);
+    m_zoneSuspicion.OnAlive(ZoneKey(aServer.m_server.m_zone), aNow);
   } else if (repeats) {
     m_suspicion.OnStall(aPacket.m_token, aNow);
+    DoubtZone(aServer, aNow);
   }
   if (heard && aRecord.m_busy) {
     m_latencies.Observe(aPacket.m_token, aNow - aRecord.m_requestAt, aNow);
@@ -317,13 +330,28 @@
     candidate.m_slots = server->m_server.m_slots;
     candidate.m_sameZone = server->m_server.m_zone == m_identity.m_zone;
     candidate.m_cold = aNow < server->m_coldUntil;
-    candidate.m_suspect = server->m_presence == Presence::Lapsed ||
-                          m_suspicion.IsSuspect(server->m_token, aNow);
+    candidate.m_suspect = IsSuspect(*server, aNow);
     candidates.push_back(candidate);
   }
   return candidates;
 }
 
+void
+TokenHost::DoubtZone(const ServerBelief& aServer, base::Instant aNow)
+{
+  m_zoneSuspicion.OnStall(ZoneKey(aServer.m_server.m_zone), aNow);
+}
+
+bool
+TokenHost::IsSuspect(const ServerBelief& aServer, base::Instant aNow) const
+{
+  const std::string& zone = aServer.m_server.m_zone;
+  const bool inDoubtfulZone =
+    zone != m_identity.m_zone && m_zoneSuspicion.IsSuspect(ZoneKey(zone), aNow);
+  return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
+         m_suspicion.IsSuspect(aServer.m_token, aNow);
+}
+
 bool
 TokenHost::MayTakeFlow(const ServerBelief& aServer) const
 {
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -142,10 +142,14 @@
                 const packet::TokenPacket& aPacket,
                 base::Instant aNow);
   void NoteProgress(const packet::TokenPacket& aPacket,
+                    const registry::ServerBelief& aServer,
                     FlowRecord& aRecord,
                     base::Instant aNow);
   std::vector<placing::Candidate> CandidatesOf(std::string_view aService,
                                                base::Instant aNow) const;
+  void DoubtZone(const registry::ServerBelief& aServer, base::Instant aNow);
+  bool IsSuspect(const registry::ServerBelief& aServer,
+                 base::Instant aNow) const;
   bool MayTakeFlow(const registry::ServerBelief& aServer) const;
   bool IsCertainlyGone(const registry::ServerBelief& aServer,
                        base::Instant aNow) const;
@@ -167,6 +171,8 @@
   registry::Beliefs m_beliefs;
   registry::Reader m_reader;
   placing::Suspicion m_suspicion;
+  /// Doubt about whole zones other than the own one, by ZoneKey.
+  placing::Suspicion m_zoneSuspicion;
   placing::LatencyBook m_latencies;
   FlowMemory m_flows;
   std::deque<Held> m_held;
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -254,6 +254,43 @@
   });
 }
 
+TEST_F(TokenHostTest, AvoidsAZoneThatCallersDoNotHearFrom)
+{
+  // The own zone has no server: new flows go to zones b and c.
+  std::vector<registry::Server> servers;
+  for (const char* id : { "i-1", "i-2", "i-3", "i-4" }) {
+    servers.push_back(MakeServer(id, "b"));
+  }
+  servers.push_back(MakeServer("i-9", "c"));
+  servers.back().m_slots = 1;
+  Learn(servers);
+
+  // Zone b is cut off: no opening packet to it is answered.
+  const std::string reachable = "10.128.0.9:8080";
+  int tries = 0;
+  for (std::uint16_t port = 41000; port < 41020; ++port) {
+    Sent open;
+    open.m_callerPort = port;
+    const bool isAnswered = Give(open, 1) == reachable;
+    tries += isAnswered ? 0 : 1;
+    open.m_acknowledged = 1;
+    if (!isAnswered) {
+      Give(open, 1.2);
+    }
+  }
+  EXPECT_LE(tries, 3);
+
+  Section("but not for good", [&] {
+    bool isBack = false;
+    for (std::uint16_t port = 42000; port < 42040; ++port) {
+      Sent open;
+      open.m_callerPort = port;
+      isBack = isBack || Give(open, 9) != reachable;
+    }
+    EXPECT_TRUE(isBack);
+  });
+}
+
 TEST_F(TokenHostTest, ResetsWhatHasNoRoute)
 {
   Learn({ MakeServer("i-1") });
