--- a/src/wasabiloom/daemon/HttpClient.cpp
+++ b/src/wasabiloom/daemon/HttpClient.cpp
@@ -89,6 +89,9 @@
 void
 HttpClient::Connect()
 {
+  if (m_socket) {
+    DropSocket();
+  }
   m_socket = std::make_unique<QTcpSocket>();
   m_socket->setProxy(QNetworkProxy::NoProxy);
   connect(
@@ -159,13 +162,21 @@
   if (m_isReused && !m_exchange->m_parser.got_some()) {
     // The server had closed the idle connection; a read may be repeated.
     m_isReused = false;
-    m_socket.release()->deleteLater();
     Connect();
     return;
   }
   Fail(problem);
 }
 
+void
+HttpClient::DropSocket()
+{
+  m_socket->disconnect(this);
+  m_socket->abort();
+  // The socket may be telling this object something right now.
+  m_socket.release()->deleteLater();
+}
+
 void
 HttpClient::Fail(const std::string& aProblem)
 {
@@ -177,9 +188,7 @@
 {
   m_timer.stop();
   if (!aKeep && m_socket) {
-    m_socket->disconnect(this);
-    m_socket->abort();
-    m_socket.release()->deleteLater();
+    DropSocket();
   }
   const auto onAnswer = std::move(m_onAnswer);
   m_onAnswer = nullptr;
--- a/src/wasabiloom/daemon/HttpClient.h
+++ b/src/wasabiloom/daemon/HttpClient.h
@@ -50,6 +50,7 @@
   void SendRequest();
   void OnReadable();
   void OnClosed();
+  void DropSocket();
   void Finish(const HttpAnswer& aAnswer, bool aKeep);
   void Fail(const std::string& aProblem);
 
--- /dev/null
+++ b/src/wasabiloom/token/ServerWatch.h
@@ -0,0 +1,70 @@
+/// What a host makes of each backend server, from the registry and from what
+/// callers' packets show.
+#pragma once
+
+#include "wasabiloom/placing/LatencyBook.h"
+#include "wasabiloom/placing/Placer.h"
+#include "wasabiloom/placing/Suspicion.h"
+#include "wasabiloom/registry/Beliefs.h"
+#include "wasabiloom/token/FlowMemory.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace wasabiloom::token {
+
+/// A flow is reset when its server has been gone for so long, or has lapsed
+/// and leaves callers unanswered, and no caller heard from it lately.
+constexpr base::Duration kGoneGrace = std::chrono::milliseconds(500);
+constexpr base::Duration kSilentForCertainty = std::chrono::milliseconds(2500);
+
+/// Signs of life and doubt, answer times and load of all servers. One thread
+/// at a time.
+class ServerWatch
+{
+public:
+  /// The references must outlive the watch.
+  ServerWatch(std::string aOwnZone,
+              const registry::Beliefs& aBeliefs,
+              FlowMemory& aFlows);
+
+  /// A caller repeated the opening packet that went to `aServer`.
+  void OnUnanswered(const registry::ServerBelief& aServer, base::Instant aNow);
+
+  /// A packet of an open flow at `aServer` came; `aRecord` is the flow's.
+  void OnProgress(const packet::TokenPacket& aPacket,
+                  const registry::ServerBelief& aServer,
+                  FlowRecord& aRecord,
+                  base::Instant aNow);
+
+  /// The servers that may take a new flow of `aService`.
+  std::vector<placing::Candidate> CandidatesOf(std::string_view aService,
+                                               base::Instant aNow) const;
+
+  /// Whether `aServer` may take a new flow at all.
+  bool MayTakeFlow(const registry::ServerBelief& aServer) const;
+
+  /// Whether `aServer` is dead beyond doubt. Precondition: the registry
+  /// answers.
+  bool IsCertainlyGone(const registry::ServerBelief& aServer,
+                       base::Instant aNow) const;
+
+  /// Forgets what is no longer fresh.
+  void Sweep(base::Instant aNow);
+
+private:
+  void DoubtZone(const registry::ServerBelief& aServer, base::Instant aNow);
+  bool IsSuspect(const registry::ServerBelief& aServer,
+                 base::Instant aNow) const;
+
+  std::string m_ownZone;
+  const registry::Beliefs& m_beliefs;
+  FlowMemory& m_flows;
+  placing::Suspicion m_suspicion;
+  /// Doubt about whole zones other than the own one.
+  placing::Suspicion m_zoneSuspicion;
+  placing::LatencyBook m_latencies;
+};
+
+} // namespace wasabiloom::token
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -1,17 +1,13 @@
 #include "wasabiloom/token/TokenHost.h"
 
-#include "wasabiloom/base/Hash.h"
-
-#include <numeric>
+#include "wasabiloom/placing/ServiceChoice.h"
 
 namespace wasabiloom::token {
 
 namespace {
 
 using packet::TokenPacket;
-using registry::Presence;
 using registry::ServerBelief;
-using registry::ServerState;
 
 constexpr base::Duration kSweepInterval = std::chrono::seconds(1);
 
@@ -29,50 +25,8 @@
   return Reason::PlacedLeastLoad;
 }
 
-/// What names a zone to Suspicion.
-std::uint32_t
-ZoneKey(const std::string& aZone)
-{
-  return static_cast<std::uint32_t>(base::HashText(aZone));
-}
-
-/// Whether `aLater` comes after `aEarlier` among numbers that wrap around.
-bool
-IsAfter(std::uint32_t aLater, std::uint32_t aEarlier)
-{
-  return static_cast<std::int32_t>(aLater - aEarlier) > 0;
-}
-
-std::string
-DescribeFact(const registry::Fact& aFact)
-{
-  std::string text = "kind=" + std::string(ToString(aFact.m_kind)) +
-                     " name=" + (aFact.m_name.empty() ? "-" : aFact.m_name) +
-                     " revision=" + std::to_string(aFact.m_revision);
-  if (const auto* server = std::get_if<registry::Server>(&aFact.m_content)) {
-    text += " service=" + server->m_service +
-            " address=" + ToString(server->m_address) +
-            " zone=" + server->m_zone + " state=" +
-            (server->m_state == ServerState::Draining ? "draining" : "ready") +
-            " born=" + std::to_string(server->m_born) + " token=" +
-            std::to_string(registry::MakeToken(server->m_id, server->m_born));
-  } else if (const auto* configuration =
-               std::get_if<registry::Configuration>(&aFact.m_content)) {
-    text += " version=" + std::to_string(configuration->m_version) +
-            " routes=" + std::to_string(configuration->m_routes.size());
-  } else if (const auto* unusable =
-               std::get_if<registry::Unusable>(&aFact.m_content)) {
-    text += " why=\"" + unusable->m_reason + "\"";
-  } else if (std::holds_alternative<registry::Removed>(aFact.m_content)) {
-    text += " removed=1";
-  }
-  return text;
-}
-
 } // namespace
 
-TokenEffects::~TokenEffects() = default;
-
 TokenHost::TokenHost(TokenHostIdentity aIdentity,
                      const registry::ReaderTiming& aTiming,
                      std::uint64_t aSeed,
@@ -81,7 +35,9 @@
   : m_identity(std::move(aIdentity))
   , m_codec(aCodec)
   , m_effects(aEffects)
-  , m_reader(aTiming, aSeed, m_beliefs, *this)
+  , m_log(m_totals, aEffects)
+  , m_reader(aTiming, aSeed, m_beliefs, m_log)
+  , m_servers(m_identity.m_zone, m_beliefs, m_flows)
 {
 }
 
@@ -168,7 +124,8 @@
   const std::uint64_t hash = packet::HashFlow(aPacket.m_flow);
   const registry::Route* route =
     m_beliefs.FindRoute(aPacket.m_flow.m_service.m_endpoint);
-  decision.m_service = route == nullptr ? "" : ChooseService(*route, hash);
+  decision.m_service =
+    route == nullptr ? "" : placing::ChooseService(*route, hash);
   if (decision.m_service.empty()) {
     Reset(aPacket, decision);
     return;
@@ -177,7 +134,7 @@
   std::uint32_t avoid = 0;
   if (record != nullptr && record->m_token != 0) {
     const ServerBelief* before = m_beliefs.FindToken(record->m_token);
-    const bool usable = before != nullptr && MayTakeFlow(*before);
+    const bool usable = before != nullptr && m_servers.MayTakeFlow(*before);
     if (usable && (aPacket.m_copy == 0 || record->m_answered)) {
       decision.m_reason = Reason::SameAsBefore;
       decision.m_token = record->m_token;
@@ -188,13 +145,12 @@
       return;
     }
     avoid = record->m_token;
-    m_suspicion.OnUnanswered(avoid, aNow);
     if (before != nullptr) {
-      DoubtZone(*before, aNow);
+      m_servers.OnUnanswered(*before, aNow);
     }
   }
-  const auto placement =
-    placing::Place(CandidatesOf(decision.m_service, aNow), avoid, hash);
+  const auto placement = placing::Place(
+    m_servers.CandidatesOf(decision.m_service, aNow), avoid, hash);
   if (!placement) {
     decision.m_reason = Reason::NoServer;
     m_flows.Erase(aPacket.m_flow);
@@ -238,7 +194,7 @@
   if (record != nullptr) {
     record->m_answered &= record->m_token == server->m_token;
     m_flows.Assign(*record, server->m_token);
-    NoteProgress(aPacket, *server, *record, aNow);
+    m_servers.OnProgress(aPacket, *server, *record, aNow);
   }
   const auto zoneOut = m_beliefs.ZoneOutSince(server->m_server.m_zone);
   if (zoneOut && aNow - *zoneOut > m_identity.m_zoneOutGrace) {
@@ -246,7 +202,7 @@
     Drop(aPacket, decision, aNow);
     return;
   }
-  if (IsCertainlyGone(*server, aNow)) {
+  if (!m_reader.IsFailing() && m_servers.IsCertainlyGone(*server, aNow)) {
     decision.m_reason = Reason::ServerGone;
     Reset(aPacket, decision);
     return;
@@ -259,43 +215,6 @@
   }
 }
 
-void
-TokenHost::NoteProgress(const TokenPacket& aPacket,
-                        const ServerBelief& aServer,
-                        FlowRecord& aRecord,
-                        base::Instant aNow)
-{
-  const bool isFirst = !aRecord.m_answered;
-  // The first packet of a flow that opened elsewhere may be a repetition: it
-  // speaks neither for the server nor against it.
-  const bool heard =
-    isFirst ? aRecord.m_opened
-            : IsAfter(aPacket.m_acknowledged, aRecord.m_acknowledged);
-  const bool repeats = !isFirst && aPacket.m_payloadBytes > 0 && !heard &&
-                       !IsAfter(aPacket.m_sequence, aRecord.m_sequence);
-  if (heard || isFirst) {
-    aRecord.m_acknowledged = aPacket.m_acknowledged;
-  }
-  if (heard) {
-    m_suspicion.OnAlive(aPacket.m_token, aNow);
-    m_zoneSuspicion.OnAlive(ZoneKey(aServer.m_server.m_zone), aNow);
-  } else if (repeats) {
-    m_suspicion.OnStall(aPacket.m_token, aNow);
-    DoubtZone(aServer, aNow);
-  }
-  if (heard && aRecord.m_busy) {
-    m_latencies.Observe(aPacket.m_token, aNow - aRecord.m_requestAt, aNow);
-    m_flows.SetBusy(aRecord, false, aNow);
-  }
-  if (isFirst || IsAfter(aPacket.m_sequence, aRecord.m_sequence)) {
-    aRecord.m_sequence = aPacket.m_sequence;
-    m_flows.SetBusy(
-      aRecord, aPacket.m_payloadBytes > 0 && !aPacket.m_closes, aNow);
-  }
-  aRecord.m_answered = true;
-  aRecord.m_seenAt = aNow;
-}
-
 void
 TokenHost::OnUnknownToken(const TokenPacket& aPacket, base::Instant aNow)
 {
@@ -313,68 +232,6 @@
   Drop(aPacket, decision, aNow);
 }
 
-std::vector<placing::Candidate>
-TokenHost::CandidatesOf(std::string_view aService, base::Instant aNow) const
-{
-  std::vector<placing::Candidate> candidates;
-  for (const ServerBelief* server : m_beliefs.ServersOf(aService)) {
-    if (!MayTakeFlow(*server)) {
-      continue;
-    }
-    placing::Candidate candidate;
-    candidate.m_token = server->m_token;
-    const ServerFlows count = m_flows.CountAt(server->m_token);
-    candidate.m_open = count.m_open;
-    candidate.m_busy = count.m_busy;
-    candidate.m_latency = m_latencies.At(server->m_token, aNow);
-    candidate.m_slots = server->m_server.m_slots;
-    candidate.m_sameZone = server->m_server.m_zone == m_identity.m_zone;
-    candidate.m_cold = aNow < server->m_coldUntil;
-    candidate.m_suspect = IsSuspect(*server, aNow);
-    candidates.push_back(candidate);
-  }
-  return candidates;
-}
-
-void
-TokenHost::DoubtZone(const ServerBelief& aServer, base::Instant aNow)
-{
-  m_zoneSuspicion.OnStall(ZoneKey(aServer.m_server.m_zone), aNow);
-}
-
-bool
-TokenHost::IsSuspect(const ServerBelief& aServer, base::Instant aNow) const
-{
-  const std::string& zone = aServer.m_server.m_zone;
-  const bool inDoubtfulZone =
-    zone != m_identity.m_zone && m_zoneSuspicion.IsSuspect(ZoneKey(zone), aNow);
-  return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
-         m_suspicion.IsSuspect(aServer.m_token, aNow);
-}
-
-bool
-TokenHost::MayTakeFlow(const ServerBelief& aServer) const
-{
-  const bool isThere = aServer.m_presence == Presence::Listed ||
-                       aServer.m_presence == Presence::Lapsed;
-  return isThere && !aServer.m_clashes &&
-         aServer.m_server.m_state == ServerState::Ready &&
-         !m_beliefs.ZoneOutSince(aServer.m_server.m_zone);
-}
-
-bool
-TokenHost::IsCertainlyGone(const ServerBelief& aServer,
-                           base::Instant aNow) const
-{
-  const bool isGone = aServer.m_presence == Presence::Gone &&
-                      aNow - aServer.m_since > kGoneGrace;
-  const bool isMissed = aServer.m_presence == Presence::Lapsed &&
-                        m_suspicion.IsSuspect(aServer.m_token, aNow);
-  const bool isSilent =
-    aNow - m_suspicion.AliveAt(aServer.m_token) > kSilentForCertainty;
-  return (isGone || isMissed) && isSilent && !m_reader.IsFailing();
-}
-
 void
 TokenHost::Deliver(std::span<const std::byte> aBytes,
                    const ServerBelief& aServer)
@@ -523,7 +380,7 @@
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
     m_flows.Sweep(kLoadIdle, aNow);
-    m_latencies.Sweep(aNow);
+    m_servers.Sweep(aNow);
   }
 }
 
@@ -539,69 +396,4 @@
   m_identity.m_zoneOutGrace = aGrace;
 }
 
-void
-TokenHost::OnFact(const registry::Fact& aFact, registry::Outcome aOutcome)
-{
-  if (aOutcome == registry::Outcome::Unchanged) {
-    return;
-  }
-  m_totals.m_factsAdopted += aOutcome == registry::Outcome::Adopted ? 1 : 0;
-  m_totals.m_factsSetAside += aOutcome == registry::Outcome::SetAside ? 1 : 0;
-  m_effects.LogBelief("fact_" + std::string(ToString(aOutcome)),
-                      DescribeFact(aFact));
-}
-
-void
-TokenHost::OnCallFailed(const registry::CallFailure& aFailure,
-                        std::uint32_t aFailures,
-                        base::Duration aPause)
-{
-  ++m_totals.m_callsFailed;
-  const auto pause =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aPause);
-  m_effects.LogBelief(
-    "registry_call_failed",
-    "code=" + std::to_string(static_cast<int>(aFailure.m_code)) + " failures=" +
-      std::to_string(aFailures) + " pause_ms=" + std::to_string(pause.count()) +
-      " detail=\"" + aFailure.m_detail + "\"");
-}
-
-void
-TokenHost::OnReachable(std::uint64_t aRevision)
-{
-  m_effects.LogBelief("registry_reachable",
-                      "revision=" + std::to_string(aRevision));
-}
-
-void
-TokenHost::OnListed(std::uint64_t aRevision, std::size_t aFacts)
-{
-  m_effects.LogBelief("registry_listed",
-                      "revision=" + std::to_string(aRevision) +
-                        " facts=" + std::to_string(aFacts));
-}
-
-std::string_view
-ChooseService(const registry::Route& aRoute, std::uint64_t aHash)
-{
-  const auto total = std::accumulate(
-    aRoute.m_shares.begin(),
-    aRoute.m_shares.end(),
-    std::uint64_t{ 0 },
-    [](std::uint64_t aSum, const registry::ServiceShare& aShare) {
-      return aSum + aShare.m_weight;
-    });
-  if (total == 0) {
-    return {};
-  }
-  std::uint64_t point = base::Mix(aHash) % total;
-  for (const registry::ServiceShare& share : aRoute.m_shares) {
-    if (point < share.m_weight) {
-      return share.m_service;
-    }
-    point -= share.m_weight;
-  }
-  return {};
-}
-
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -1,12 +1,12 @@
 /// The entry host under the token policy, without sockets, threads or clocks.
 #pragma once
 
-#include "wasabiloom/placing/LatencyBook.h"
-#include "wasabiloom/placing/Placer.h"
-#include "wasabiloom/placing/Suspicion.h"
 #include "wasabiloom/registry/Reader.h"
+#include "wasabiloom/token/BeliefLog.h"
 #include "wasabiloom/token/Decision.h"
 #include "wasabiloom/token/FlowMemory.h"
+#include "wasabiloom/token/ServerWatch.h"
+#include "wasabiloom/token/TokenEffects.h"
 
 #include <cstddef>
 #include <deque>
@@ -43,37 +43,12 @@
 /// token for so long.
 constexpr base::Duration kUnknownTokenGrace = std::chrono::seconds(3);
 
-/// A flow is reset when its server has been gone for so long, or has lapsed
-/// and leaves callers unanswered, and no caller heard from it lately.
-constexpr base::Duration kGoneGrace = std::chrono::milliseconds(500);
-constexpr base::Duration kSilentForCertainty = std::chrono::milliseconds(2500);
-
 /// A flow silent for longer does not count as load.
 constexpr base::Duration kLoadIdle = std::chrono::seconds(4);
 
-/// What the host asks its driver to do. Called only from inside the host's
-/// inputs; must not call back.
-class TokenEffects
-{
-public:
-  virtual ~TokenEffects();
-
-  /// Sends a datagram to a backend server or a caller. The bytes live until
-  /// the call returns.
-  virtual void Send(const base::Endpoint& aTo,
-                    std::span<const std::byte> aBytes) = 0;
-
-  /// Records a decision that touches a flow.
-  virtual void LogDecision(const Decision& aDecision) = 0;
-
-  /// Records a change of belief: what, and details as key=value.
-  virtual void LogBelief(std::string_view aWhat,
-                         const std::string& aDetail) = 0;
-};
-
 /// Delivers packets by the token that they carry and places new flows. Equal
 /// inputs give equal outputs. One thread at a time.
-class TokenHost final : private registry::ReaderEvents
+class TokenHost final
 {
 public:
   /// The references must outlive the host. `aSeed` differs between processes.
@@ -82,7 +57,9 @@
             std::uint64_t aSeed,
             const packet::TokenCodec& aCodec,
             TokenEffects& aEffects);
-  ~TokenHost() override;
+  ~TokenHost();
+  TokenHost(const TokenHost&) = delete;
+  TokenHost& operator=(const TokenHost&) = delete;
 
   /// A datagram from the callers' side.
   void OnPacket(std::span<const std::byte> aBytes, base::Instant aNow);
@@ -122,13 +99,6 @@
     base::Instant m_at;
   };
 
-  void OnFact(const registry::Fact& aFact, registry::Outcome aOutcome) override;
-  void OnCallFailed(const registry::CallFailure& aFailure,
-                    std::uint32_t aFailures,
-                    base::Duration aPause) override;
-  void OnReachable(std::uint64_t aRevision) override;
-  void OnListed(std::uint64_t aRevision, std::size_t aFacts) override;
-
   void Hold(std::span<const std::byte> aBytes,
             const packet::TokenPacket& aPacket,
             base::Instant aNow);
@@ -141,18 +111,6 @@
   void Continue(std::span<const std::byte> aBytes,
                 const packet::TokenPacket& aPacket,
                 base::Instant aNow);
-  void NoteProgress(const packet::TokenPacket& aPacket,
-                    const registry::ServerBelief& aServer,
-                    FlowRecord& aRecord,
-                    base::Instant aNow);
-  std::vector<placing::Candidate> CandidatesOf(std::string_view aService,
-                                               base::Instant aNow) const;
-  void DoubtZone(const registry::ServerBelief& aServer, base::Instant aNow);
-  bool IsSuspect(const registry::ServerBelief& aServer,
-                 base::Instant aNow) const;
-  bool MayTakeFlow(const registry::ServerBelief& aServer) const;
-  bool IsCertainlyGone(const registry::ServerBelief& aServer,
-                       base::Instant aNow) const;
   void OnUnknownToken(const packet::TokenPacket& aPacket, base::Instant aNow);
   void Deliver(std::span<const std::byte> aBytes,
                const registry::ServerBelief& aServer);
@@ -168,23 +126,16 @@
   TokenHostIdentity m_identity;
   const packet::TokenCodec& m_codec;
   TokenEffects& m_effects;
+  Totals m_totals;
+  BeliefLog m_log;
   registry::Beliefs m_beliefs;
   registry::Reader m_reader;
-  placing::Suspicion m_suspicion;
-  /// Doubt about whole zones other than the own one, by ZoneKey.
-  placing::Suspicion m_zoneSuspicion;
-  placing::LatencyBook m_latencies;
   FlowMemory m_flows;
+  ServerWatch m_servers;
   std::deque<Held> m_held;
-  Totals m_totals;
   base::Instant m_sweptAt;
   base::Instant m_ranAt;
   base::Instant m_wokeAt;
 };
 
-/// Service of `aRoute` that takes the flow with hash `aHash`, by weight; empty
-/// when the route names none. Thread safe.
-std::string_view
-ChooseService(const registry::Route& aRoute, std::uint64_t aHash);
-
 } // namespace wasabiloom::token
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -1,6 +1,7 @@
 #include "platform/DatagramCodec.h"
 #include "support/Registry.h"
 #include "support/Section.h"
+#include "wasabiloom/placing/ServiceChoice.h"
 #include "wasabiloom/token/TokenHost.h"
 
 #include <gtest/gtest.h>
@@ -11,6 +12,7 @@
 
 using namespace token;
 using base::Endpoint;
+using placing::ChooseService;
 using registry::FactKind;
 using registry::MakeToken;
 
@@ -367,9 +369,8 @@
   EXPECT_EQ(Give(Data(dark), 1.1), placed);
   Change({ RemovedFact(FactKind::Server, dark, 20) }, 4);
 
-  Section("not on the registry's word alone", [&] {
-    EXPECT_EQ(Give(Data(dark), 4.1), placed);
-  });
+  Section("not on the registry's word alone",
+          [&] { EXPECT_EQ(Give(Data(dark), 4.1), placed); });
   Section("but when callers repeat themselves as well", [&] {
     Sent other = Data(dark);
     other.m_callerPort = 40002;
