--- /dev/null
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -0,0 +1,77 @@
+/// Task that owns a host's talk with the other hosts of the fleet.
+#pragma once
+
+#include "wasabiloom/daemon/PeerFacts.h"
+#include "wasabiloom/daemon/UdpSocket.h"
+#include "wasabiloom/fleet/FactRelay.h"
+#include "wasabiloom/settings/TokenHostSettings.h"
+
+#include <QObject>
+#include <QSocketNotifier>
+
+#include <functional>
+#include <memory>
+
+namespace wasabiloom::daemon {
+
+/// Datagrams of the roster and the relay, and facts that are pulled over HTTP.
+/// Lives on the thread that made it.
+class FleetLink final
+  : public QObject
+  , private fleet::RosterOutbox
+  , private fleet::RelayOutbox
+{
+public:
+  /// `aFacts` must outlive the link. `aOnLearned` is called after news came.
+  FleetLink(const settings::TokenHostSettings& aSettings,
+            fleet::FactPool& aFacts,
+            std::function<void()> aOnLearned);
+  ~FleetLink() override;
+
+  /// Binds the socket and asks the first hosts for facts. Errors:
+  /// SocketFailed.
+  base::Result<void> Start(base::Instant aNow);
+
+  /// Adopts changed hosts to call first.
+  void Reload(const settings::TokenHostSettings& aSettings);
+
+  /// Tells the zone what the registry has just answered.
+  void TellNews(base::Instant aNow) { m_relay.Tick(aNow); }
+
+  /// Asks the first hosts for facts; for a host that can't learn otherwise.
+  void AskForFacts(base::Instant aNow);
+
+  /// To be called a few times in each probe interval.
+  void Tick(base::Instant aNow);
+
+  /// Says farewell.
+  void Leave(base::Instant aNow);
+
+  const fleet::Roster& GetRoster() const { return m_roster; }
+
+private:
+  void SendTo(base::Ipv4Address aTo, const fleet::Message& aMessage) override;
+  void OnStanding(const fleet::Member& aMember) override;
+  void SendNews(const std::vector<base::Ipv4Address>& aTo,
+                const registry::News& aNews) override;
+  void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) override;
+
+  void OnReadable();
+  void OnMessage(const fleet::Message& aMessage, base::Instant aNow);
+  void SendBytes(base::Ipv4Address aTo, const std::string& aBytes);
+  void SetFirstPeers();
+
+  settings::TokenHostSettings m_settings;
+  fleet::FactPool& m_facts;
+  std::function<void()> m_onLearned;
+  fleet::Roster m_roster;
+  fleet::FactRelay m_relay;
+  /// The hosts of the settings, and the one that has news.
+  PeerFacts m_first;
+  PeerFacts m_teller;
+  base::Ipv4Address m_tellerAddress;
+  std::unique_ptr<UdpSocket> m_socket;
+  std::unique_ptr<QSocketNotifier> m_notifier;
+};
+
+} // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/HttpServer.h
+++ b/src/wasabiloom/daemon/HttpServer.h
@@ -51,6 +51,6 @@
 };
 
 /// Most connections that one server holds.
-constexpr int kMaxHttpConnections = 64;
+constexpr int kMaxHttpConnections = 160;
 
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/PeerFacts.cpp
+++ b/src/wasabiloom/daemon/PeerFacts.cpp
@@ -31,10 +31,12 @@
 PeerFacts::Ask(std::uint64_t aRevision, base::Instant aNow)
 {
   const bool isFirst = m_askedAt == base::Instant{};
-  if (!isFirst && aNow - m_askedAt < kAskInterval) {
+  if (!isFirst && aRevision == m_askedAfter &&
+      aNow - m_askedAt < kAskInterval) {
     return;
   }
   m_askedAt = aNow;
+  m_askedAfter = aRevision;
   const std::string target =
     std::string(kFactsPath) + "?after=" + std::to_string(aRevision);
   for (const auto& client : m_clients) {
@@ -55,8 +57,8 @@
   }
   base::Handle(
     [&]() -> base::Result<void> {
-      BOOST_LEAF_AUTO(page, registry::DecodeFacts(aAnswer.m_body));
-      m_onFacts(page);
+      BOOST_LEAF_AUTO(news, registry::DecodeNews(aAnswer.m_body));
+      m_onFacts(news);
       return {};
     },
     [](const base::Problem& aProblem) {
--- a/src/wasabiloom/daemon/PeerFacts.h
+++ b/src/wasabiloom/daemon/PeerFacts.h
@@ -1,10 +1,10 @@
-/// Asks other hosts for their facts while the registry does not answer.
+/// Asks other hosts for the facts that they know.
 #pragma once
 
 #include "wasabiloom/base/Endpoint.h"
 #include "wasabiloom/base/Time.h"
 #include "wasabiloom/daemon/HttpClient.h"
-#include "wasabiloom/registry/Source.h"
+#include "wasabiloom/registry/News.h"
 
 #include <functional>
 #include <memory>
@@ -16,7 +16,7 @@
 /// Path under which a host tells its facts; `?after=REVISION` may follow.
 constexpr const char* kFactsPath = "/facts";
 
-/// Pause between two askings of the same peers.
+/// Pause between two askings of the same peers for the same.
 constexpr base::Duration kAskInterval = std::chrono::milliseconds(800);
 
 /// How long a peer may take to answer.
@@ -27,7 +27,7 @@
 class PeerFacts
 {
 public:
-  using OnFacts = std::function<void(const registry::Page&)>;
+  using OnFacts = std::function<void(const registry::News&)>;
 
   explicit PeerFacts(OnFacts aOnFacts);
   ~PeerFacts();
@@ -35,7 +35,8 @@
   /// Replaces the peers to ask.
   void SetPeers(const std::vector<base::Endpoint>& aPeers);
 
-  /// Asks for facts newer than `aRevision`, unless it did so a moment ago.
+  /// Asks for facts newer than `aRevision`, unless it asked for the same a
+  /// moment ago.
   void Ask(std::uint64_t aRevision, base::Instant aNow);
 
 private:
@@ -44,6 +45,7 @@
   OnFacts m_onFacts;
   std::vector<std::unique_ptr<HttpClient>> m_clients;
   base::Instant m_askedAt;
+  std::uint64_t m_askedAfter = 0;
 };
 
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -4,6 +4,7 @@
 #include "wasabiloom/daemon/Clock.h"
 #include "wasabiloom/registry/FactsCodec.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace wasabiloom::daemon {
@@ -36,11 +37,18 @@
 constexpr int kBoundParts = 8;
 constexpr int kBoundUsed = 7;
 
+/// Shares of the bound within which news must be in force, in hundredths.
+constexpr int kWaitShare = 27;
+constexpr int kPaceShare = 20;
+constexpr int kWhole = 100;
+
 registry::ReaderTiming
 TimingOf(const settings::TokenHostSettings& aSettings)
 {
   registry::ReaderTiming timing;
-  timing.m_watchWait = aSettings.m_inTouch * kBoundUsed / kBoundParts;
+  timing.m_watchWait = std::min(aSettings.m_newsWithin * kWaitShare / kWhole,
+                                aSettings.m_inTouch * kBoundUsed / kBoundParts);
+  timing.m_pace = aSettings.m_newsWithin * kPaceShare / kWhole;
   return timing;
 }
 
@@ -53,19 +61,6 @@
            aSettings.m_zoneOut * kBoundUsed / kBoundParts };
 }
 
-/// Where peers tell their facts; the host itself is left out.
-std::vector<base::Endpoint>
-PeersOf(const settings::TokenHostSettings& aSettings)
-{
-  std::vector<base::Endpoint> peers;
-  for (const base::Endpoint& peer : aSettings.m_peers) {
-    if (peer.m_address != aSettings.m_address) {
-      peers.push_back({ peer.m_address, aSettings.m_peerPort });
-    }
-  }
-  return peers;
-}
-
 std::int64_t
 Milliseconds(base::Duration aSpan)
 {
@@ -85,16 +80,12 @@
            NewIncarnation(),
            aAdapter.m_codec,
            *this)
-  , m_peers([this](const registry::Page& aFacts) {
-    m_host.OnPeerFacts(aFacts, Now());
-    NoteReady();
-  })
+  , m_fleet(m_settings, m_host, [this] { NoteReady(); })
   , m_server(
       [this](const std::string& aPath, const HttpServer::Responder& aReply) {
         aReply(Answer(aPath));
       })
 {
-  m_peers.SetPeers(PeersOf(m_settings));
   m_timer.setInterval(kTick);
   connect(&m_timer, &QTimer::timeout, this, [this] { OnTick(); });
 }
@@ -106,7 +97,7 @@
 {
   m_startedAt = Now();
   MakeCall(m_startedAt);
-  m_peers.Ask(0, m_startedAt);
+  BOOST_LEAF_CHECK(m_fleet.Start(m_startedAt));
   BOOST_LEAF_ASSIGN(m_socket, UdpSocket::Bind(m_settings.m_packets));
   m_notifier = std::make_unique<QSocketNotifier>(m_socket->Descriptor(),
                                                  QSocketNotifier::Read);
@@ -134,7 +125,7 @@
   changed.m_logLevel = aSettings.m_logLevel;
   const bool isWhole = changed == aSettings;
   m_settings = changed;
-  m_peers.SetPeers(PeersOf(m_settings));
+  m_fleet.Reload(m_settings);
   m_host.SetZoneOutGrace(IdentityOf(m_settings).m_zoneOutGrace);
   SetUpBufferedLog(m_settings.m_logLevel, m_log);
   LogLine(isWhole ? LogLevel::Info : LogLevel::Warn,
@@ -147,6 +138,7 @@
 {
   m_onStopped = std::move(aOnStopped);
   m_leaveSince = Now();
+  m_fleet.Leave(m_leaveSince);
   LogLine(LogLevel::Info,
           "host",
           "event=stopping flows=" + std::to_string(m_host.FlowCount()));
@@ -185,6 +177,7 @@
 {
   const base::Instant now = Now();
   m_host.OnTick(now);
+  m_fleet.Tick(now);
   MakeCall(now);
   AskPeers(now);
   ReportMalformed(now);
@@ -202,6 +195,7 @@
     const base::Instant now = Now();
     m_metrics.ObserveCall(now - aNow);
     NoteReady();
+    m_fleet.TellNews(now);
     MakeCall(now);
   };
   switch (call.m_kind) {
@@ -210,6 +204,7 @@
     case ReaderCall::Kind::List:
       m_adapter.m_registry.List(
         call.m_after,
+        call.m_mayBeStale,
         call.m_timeout,
         [this, finish](const registry::ListAnswer& aAnswer) {
           m_host.OnListAnswer(aAnswer, Now());
@@ -233,7 +228,7 @@
 TokenHostTask::AskPeers(base::Instant aNow)
 {
   if (!m_host.IsReady() || m_host.IsCutOff(kAskPeersAfter, aNow)) {
-    m_peers.Ask(m_host.Revision(), aNow);
+    m_fleet.AskForFacts(aNow);
   }
 }
 
@@ -276,12 +271,11 @@
     const char* first = aPath.data() + at + kAfter.size();
     std::from_chars(first, aPath.data() + aPath.size(), after);
   }
-  if (!m_host.IsReady() || m_host.Revision() <= after) {
+  const auto news = m_host.NewsSince(after, Now());
+  if (!news || news->m_to <= after) {
     return { kNoNews, "text/plain", "" };
   }
-  return { 200,
-           "application/cbor",
-           registry::EncodeFacts(m_host.FactsForPeer()) };
+  return { 200, "application/cbor", registry::EncodeNews(*news) };
 }
 
 void
--- a/src/wasabiloom/daemon/TokenHostTask.h
+++ b/src/wasabiloom/daemon/TokenHostTask.h
@@ -1,9 +1,9 @@
 /// Task that owns an entry host under the token policy and all its sockets.
 #pragma once
 
+#include "wasabiloom/daemon/FleetLink.h"
 #include "wasabiloom/daemon/HttpServer.h"
 #include "wasabiloom/daemon/LineBuffer.h"
-#include "wasabiloom/daemon/PeerFacts.h"
 #include "wasabiloom/daemon/TokenMetrics.h"
 #include "wasabiloom/daemon/UdpSocket.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
@@ -73,7 +73,7 @@
   LineBuffer& m_log;
   token::TokenHost m_host;
   TokenMetrics m_metrics;
-  PeerFacts m_peers;
+  FleetLink m_fleet;
   HttpServer m_server;
   std::unique_ptr<UdpSocket> m_socket;
   std::unique_ptr<QSocketNotifier> m_notifier;
--- /dev/null
+++ b/src/wasabiloom/fleet/FactPool.h
@@ -0,0 +1,37 @@
+/// What the fleet may ask of a host's knowledge of the registry.
+#pragma once
+
+#include "wasabiloom/registry/News.h"
+#include "wasabiloom/registry/Reader.h"
+
+#include <optional>
+
+namespace wasabiloom::fleet {
+
+/// Implemented by a host. One thread at a time.
+class FactPool
+{
+public:
+  virtual ~FactPool();
+
+  /// Takes in what a peer has learned.
+  virtual registry::NewsOutcome OnNews(const registry::News& aNews,
+                                       base::Instant aNow) = 0;
+
+  /// What a peer that knows all up to `aRevision` does not know yet; empty
+  /// while the host knows too little itself.
+  virtual std::optional<registry::News> NewsSince(std::uint64_t aRevision,
+                                                  base::Instant aNow) const = 0;
+
+  /// When the registry last answered this host itself.
+  virtual base::Instant AnsweredAt() const = 0;
+
+  /// Revision up to which all changes are known.
+  virtual std::uint64_t Revision() const = 0;
+
+  /// The host is to call the registry only when its news is older; see
+  /// registry::Reader.
+  virtual void SetPatience(base::Duration aPatience) = 0;
+};
+
+} // namespace wasabiloom::fleet
--- /dev/null
+++ b/src/wasabiloom/fleet/Member.h
@@ -0,0 +1,45 @@
+/// An entry host as the others of the fleet know it.
+#pragma once
+
+#include "wasabiloom/base/Endpoint.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace wasabiloom::fleet {
+
+/// What is said of a member. A later value overrides an earlier one of the
+/// same incarnation.
+enum class Standing : std::uint8_t
+{
+  Alive,
+  /// Did not answer; it may still refute.
+  Suspect,
+  /// Has left, or did not refute in time.
+  Gone,
+};
+
+/// Name of `aStanding` for logs. Thread safe.
+std::string_view
+ToString(Standing aStanding);
+
+/// A statement on one member; its address is its identity.
+struct Member
+{
+  base::Ipv4Address m_address;
+  std::string m_zone;
+  /// Rises with each start of the process and each refutation.
+  std::uint64_t m_incarnation = 0;
+  Standing m_standing = Standing::Alive;
+
+  friend auto operator<=>(const Member&, const Member&) = default;
+};
+
+/// Whether `aLeft` overrides `aRight`, a statement on the same member. Thread
+/// safe.
+bool
+Overrides(const Member& aLeft, const Member& aRight);
+
+} // namespace wasabiloom::fleet
--- /dev/null
+++ b/src/wasabiloom/fleet/Message.h
@@ -0,0 +1,68 @@
+/// Datagrams that entry hosts exchange under the token policy, as values.
+#pragma once
+
+#include "wasabiloom/fleet/Member.h"
+#include "wasabiloom/registry/News.h"
+
+#include <variant>
+#include <vector>
+
+namespace wasabiloom::fleet {
+
+/// Asks whether the receiver lives.
+struct Probe
+{
+  std::uint32_t m_sequence = 0;
+  /// The sender wants to hear of every member.
+  bool m_wantsAll = false;
+
+  friend auto operator<=>(const Probe&, const Probe&) = default;
+};
+
+/// Answers a Probe, or a ProbeRequest once its target has answered.
+struct ProbeAnswer
+{
+  std::uint32_t m_sequence = 0;
+
+  friend auto operator<=>(const ProbeAnswer&, const ProbeAnswer&) = default;
+};
+
+/// Asks the receiver to probe `m_target` on the sender's behalf.
+struct ProbeRequest
+{
+  std::uint32_t m_sequence = 0;
+  base::Ipv4Address m_target;
+
+  friend auto operator<=>(const ProbeRequest&, const ProbeRequest&) = default;
+};
+
+/// Carries statements only.
+struct Roll
+{
+  friend auto operator<=>(const Roll&, const Roll&) = default;
+};
+
+/// Callers of the sender don't hear from these starts of backend servers.
+struct Doubts
+{
+  std::vector<std::uint32_t> m_tokens;
+
+  friend auto operator<=>(const Doubts&, const Doubts&) = default;
+};
+
+using Content =
+  std::variant<Probe, ProbeAnswer, ProbeRequest, Roll, registry::News, Doubts>;
+
+/// One datagram.
+struct Message
+{
+  /// What the sender says of itself.
+  Member m_sender;
+  /// What it says of others.
+  std::vector<Member> m_updates;
+  Content m_content;
+
+  friend bool operator==(const Message&, const Message&) = default;
+};
+
+} // namespace wasabiloom::fleet
--- a/src/wasabiloom/registry/Beliefs.cpp
+++ b/src/wasabiloom/registry/Beliefs.cpp
@@ -235,6 +235,7 @@
       ++entry;
       continue;
     }
+    m_forgottenRevision = std::max(m_forgottenRevision, belief.m_revision);
     const auto latest = m_byId.find(belief.m_server.m_id);
     if (latest != m_byId.end() && latest->second == &belief) {
       m_byId.erase(latest);
@@ -266,15 +267,6 @@
   return found == m_routes.end() ? nullptr : found->second;
 }
 
-const ServiceRules*
-Beliefs::FindService(std::string_view aName) const
-{
-  const auto found = std::ranges::find_if(
-    m_configuration.m_services,
-    [&](const ServiceRules& aRules) { return aRules.m_name == aName; });
-  return found == m_configuration.m_services.end() ? nullptr : &*found;
-}
-
 const ServerBelief*
 Beliefs::FindToken(std::uint32_t aToken) const
 {
@@ -300,25 +292,41 @@
   return found->second.m_since;
 }
 
-std::vector<Fact>
-Beliefs::ToFacts() const
+std::optional<std::vector<Fact>>
+Beliefs::FactsSince(std::uint64_t aRevision, base::Instant aNow) const
 {
+  const bool whole = aRevision == 0;
+  if (!whole && aRevision < m_forgottenRevision) {
+    return std::nullopt;
+  }
   std::vector<Fact> facts;
-  if (m_configuration.m_version > 0) {
+  if (m_configuration.m_version > 0 && m_configurationRevision > aRevision) {
     facts.push_back({ FactKind::Configuration,
                       "",
                       m_configurationRevision,
                       m_configuration });
   }
   for (const auto& [id, belief] : m_byId) {
+    if (belief->m_revision <= aRevision) {
+      continue;
+    }
     if (belief->m_presence == Presence::Listed) {
-      facts.push_back(
-        { FactKind::Server, id, belief->m_revision, belief->m_server });
+      Server server = belief->m_server;
+      server.m_coldFor =
+        std::max(belief->m_coldUntil - aNow, base::Duration::zero());
+      facts.push_back({ FactKind::Server, id, belief->m_revision, server });
+    } else if (!whole) {
+      facts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
     }
   }
   for (const auto& [name, zone] : m_zones) {
+    if (zone.m_revision <= aRevision) {
+      continue;
+    }
     if (zone.m_out) {
       facts.push_back({ FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
+    } else if (!whole) {
+      facts.push_back({ FactKind::ZoneOut, name, zone.m_revision, Removed{} });
     }
   }
   return facts;
--- a/src/wasabiloom/registry/Beliefs.h
+++ b/src/wasabiloom/registry/Beliefs.h
@@ -102,9 +102,6 @@
   /// Route at `aAddress`, or null.
   const Route* FindRoute(const base::Endpoint& aAddress) const;
 
-  /// Rules of the service named `aName`, or null.
-  const ServiceRules* FindService(std::string_view aName) const;
-
   /// Start that `aToken` names, or null.
   const ServerBelief* FindToken(std::uint32_t aToken) const;
 
@@ -115,8 +112,10 @@
   /// When `aZone` was seen taken out; empty when it is in service.
   std::optional<base::Instant> ZoneOutSince(const std::string& aZone) const;
 
-  /// All that is believed, as facts that another host can take in.
-  std::vector<Fact> ToFacts() const;
+  /// What changed after `aRevision`, as facts that another host can take in;
+  /// 0 for all that is believed. Empty when changes since then were forgotten.
+  std::optional<std::vector<Fact>> FactsSince(std::uint64_t aRevision,
+                                              base::Instant aNow) const;
 
   std::size_t ServerCount() const { return m_byToken.size(); }
 
@@ -142,6 +141,8 @@
 
   Configuration m_configuration;
   std::uint64_t m_configurationRevision = 0;
+  /// Latest revision of a removal that is no longer remembered.
+  std::uint64_t m_forgottenRevision = 0;
   bool m_listed = false;
   std::unordered_map<std::uint64_t, const Route*> m_routes;
   std::unordered_map<std::uint32_t, std::unique_ptr<ServerBelief>> m_byToken;
--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -8,7 +8,10 @@
 
 using nlohmann::json;
 
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
+
+/// Stands for content that is no longer there.
+constexpr bool kRemoved = false;
 
 json
 Write(const base::Endpoint& aEndpoint)
@@ -70,34 +73,44 @@
 json
 Write(const Server& aServer)
 {
-  return { { "id", aServer.m_id },
-           { "number", aServer.m_number },
-           { "born", aServer.m_born },
-           { "service", aServer.m_service },
-           { "address", Write(aServer.m_address) },
-           { "zone", aServer.m_zone },
-           { "slots", aServer.m_slots },
-           { "draining", aServer.m_state == ServerState::Draining },
-           { "cold_ns", aServer.m_coldFor.count() } };
+  return { aServer.m_id,
+           aServer.m_number,
+           aServer.m_born,
+           aServer.m_service,
+           Write(aServer.m_address),
+           aServer.m_zone,
+           aServer.m_slots,
+           aServer.m_state == ServerState::Draining,
+           aServer.m_coldFor.count() };
 }
 
 Server
 ReadServer(const json& aValue)
 {
   Server server;
-  server.m_id = aValue.at("id").get<std::string>();
-  server.m_number = aValue.at("number").get<std::uint64_t>();
-  server.m_born = aValue.at("born").get<std::uint64_t>();
-  server.m_service = aValue.at("service").get<std::string>();
-  server.m_address = ReadEndpoint(aValue.at("address"));
-  server.m_zone = aValue.at("zone").get<std::string>();
-  server.m_slots = aValue.at("slots").get<std::uint32_t>();
-  server.m_state = aValue.at("draining").get<bool>() ? ServerState::Draining
-                                                     : ServerState::Ready;
-  server.m_coldFor = base::Duration(aValue.at("cold_ns").get<std::int64_t>());
+  std::size_t at = 0;
+  server.m_id = aValue.at(at++).get<std::string>();
+  server.m_number = aValue.at(at++).get<std::uint64_t>();
+  server.m_born = aValue.at(at++).get<std::uint64_t>();
+  server.m_service = aValue.at(at++).get<std::string>();
+  server.m_address = ReadEndpoint(aValue.at(at++));
+  server.m_zone = aValue.at(at++).get<std::string>();
+  server.m_slots = aValue.at(at++).get<std::uint32_t>();
+  server.m_state =
+    aValue.at(at++).get<bool>() ? ServerState::Draining : ServerState::Ready;
+  server.m_coldFor = base::Duration(aValue.at(at++).get<std::int64_t>());
   return server;
 }
 
+FactContent
+ReadServerContent(const json& aValue)
+{
+  if (aValue == kRemoved) {
+    return Removed{};
+  }
+  return ReadServer(aValue);
+}
+
 json
 Write(const Fact& aFact)
 {
@@ -107,30 +120,32 @@
     content = Write(*configuration);
   } else if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
     content = Write(*server);
+  } else if (std::holds_alternative<Removed>(aFact.m_content)) {
+    content = kRemoved;
   }
-  return { { "kind", static_cast<int>(aFact.m_kind) },
-           { "name", aFact.m_name },
-           { "revision", aFact.m_revision },
-           { "content", content } };
+  return {
+    static_cast<int>(aFact.m_kind), aFact.m_name, aFact.m_revision, content
+  };
 }
 
 Fact
 ReadFact(const json& aValue)
 {
-  const int kind = aValue.at("kind").get<int>();
+  const int kind = aValue.at(0).get<int>();
   Fact fact;
-  fact.m_name = aValue.at("name").get<std::string>();
-  fact.m_revision = aValue.at("revision").get<std::uint64_t>();
-  const json& content = aValue.at("content");
+  fact.m_name = aValue.at(1).get<std::string>();
+  fact.m_revision = aValue.at(2).get<std::uint64_t>();
+  const json& content = aValue.at(3);
   if (kind == static_cast<int>(FactKind::Configuration)) {
     fact.m_kind = FactKind::Configuration;
     fact.m_content = ReadConfiguration(content);
   } else if (kind == static_cast<int>(FactKind::Server)) {
     fact.m_kind = FactKind::Server;
-    fact.m_content = ReadServer(content);
+    fact.m_content = ReadServerContent(content);
   } else if (kind == static_cast<int>(FactKind::ZoneOut)) {
     fact.m_kind = FactKind::ZoneOut;
-    fact.m_content = ZoneOut{};
+    fact.m_content =
+      content == kRemoved ? FactContent(Removed{}) : FactContent(ZoneOut{});
   } else {
     throw std::invalid_argument("unknown kind of fact");
   }
@@ -140,32 +155,34 @@
 } // namespace
 
 std::string
-EncodeFacts(const Page& aPage)
+EncodeNews(const News& aNews)
 {
   json facts = json::array();
-  for (const Fact& fact : aPage.m_facts) {
+  for (const Fact& fact : aNews.m_facts) {
     facts.push_back(Write(fact));
   }
-  const json page = { { "format", kFormat },
-                      { "revision", aPage.m_revision },
-                      { "facts", facts } };
+  const json news = {
+    kFormat, aNews.m_from, aNews.m_to, aNews.m_age.count(), facts
+  };
   std::string bytes;
-  json::to_cbor(page, bytes);
+  json::to_cbor(news, bytes);
   return bytes;
 }
 
-base::Result<Page>
-DecodeFacts(std::string_view aBytes)
+base::Result<News>
+DecodeNews(std::string_view aBytes)
 {
   try {
-    const json page = json::from_cbor(aBytes.begin(), aBytes.end());
-    if (page.at("format").get<int>() != kFormat) {
+    const json news = json::from_cbor(aBytes.begin(), aBytes.end());
+    if (news.at(0).get<int>() != kFormat) {
       return base::Fail(base::ResultCode::PeerMessageMalformed,
                         "facts of another format");
     }
-    Page read;
-    read.m_revision = page.at("revision").get<std::uint64_t>();
-    for (const json& fact : page.at("facts")) {
+    News read;
+    read.m_from = news.at(1).get<std::uint64_t>();
+    read.m_to = news.at(2).get<std::uint64_t>();
+    read.m_age = base::Duration(news.at(3).get<std::int64_t>());
+    for (const json& fact : news.at(4)) {
       read.m_facts.push_back(ReadFact(fact));
     }
     return read;
--- a/src/wasabiloom/registry/FactsCodec.h
+++ b/src/wasabiloom/registry/FactsCodec.h
@@ -2,19 +2,19 @@
 #pragma once
 
 #include "wasabiloom/base/Result.h"
-#include "wasabiloom/registry/Source.h"
+#include "wasabiloom/registry/News.h"
 
 #include <string>
 #include <string_view>
 
 namespace wasabiloom::registry {
 
-/// Writes a page in CBOR. Thread safe.
+/// Writes news in CBOR. Thread safe.
 std::string
-EncodeFacts(const Page& aPage);
+EncodeNews(const News& aNews);
 
-/// Reads what EncodeFacts wrote. Errors: PeerMessageMalformed. Thread safe.
-base::Result<Page>
-DecodeFacts(std::string_view aBytes);
+/// Reads what EncodeNews wrote. Errors: PeerMessageMalformed. Thread safe.
+base::Result<News>
+DecodeNews(std::string_view aBytes);
 
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -26,22 +26,27 @@
 ReaderCall
 Reader::Next(base::Instant aNow)
 {
-  if (m_inCall || aNow < m_due) {
+  if (m_inCall || aNow < m_due || OthersRead(aNow)) {
     return {};
   }
   m_inCall = true;
+  m_hurried = false;
   ReaderCall call;
   if (m_listing) {
     call.m_kind = ReaderCall::Kind::List;
     call.m_after = m_after;
+    call.m_mayBeStale = m_mayBeStale;
     call.m_timeout = m_timing.m_answerTimeout;
     return call;
   }
   call.m_kind = ReaderCall::Kind::Watch;
   call.m_revision = m_revision;
   // After a failure the first watch returns at once, to learn soon whether
-  // the registry answers again.
-  call.m_wait = m_failures > 0 ? base::Duration::zero() : m_timing.m_watchWait;
+  // the registry answers again; so does one that confirms, or stands in for
+  // another host's.
+  const bool atOnce =
+    m_failures > 0 || !m_confirmed || m_patience > base::Duration::zero();
+  call.m_wait = atOnce ? base::Duration::zero() : m_timing.m_watchWait;
   call.m_timeout = call.m_wait + m_timing.m_answerTimeout;
   return call;
 }
@@ -66,6 +71,7 @@
   }
   // Pages are no snapshot: whatever changed since the first one is watched.
   m_listing = false;
+  m_confirmed = m_confirmed || !m_mayBeStale;
   m_revision = std::max(m_revision, m_listRevision);
   m_beliefs.EndListing(m_listRevision, m_found, aNow);
   m_events.OnListed(m_listRevision, m_found.size());
@@ -76,6 +82,7 @@
 Reader::OnChanges(const Changes& aChanges, base::Instant aNow)
 {
   m_inCall = false;
+  m_confirmed = true;
   NoteAnswer(aChanges.m_revision, aNow);
   Take(aChanges.m_facts, aNow);
   m_revision = std::max(m_revision, aChanges.m_revision);
@@ -88,6 +95,7 @@
   m_inCall = false;
   ++m_failures;
   if (aFailure.m_code == base::ResultCode::HistoryGone) {
+    m_mayBeStale = false;
     RestartListing();
   }
   const std::uint32_t doublings = std::min(m_failures - 1, kMaxDoublings);
@@ -100,32 +108,67 @@
   m_events.OnCallFailed(aFailure, m_failures, chosen);
 }
 
-bool
-Reader::OnPeerFacts(const Page& aFacts, base::Instant aNow)
+NewsOutcome
+Reader::OnNews(const News& aNews, base::Instant aNow)
 {
-  if (aFacts.m_revision <= m_revision) {
-    return false;
+  if (aNews.m_to < m_revision) {
+    return NewsOutcome::Stale;
   }
-  std::set<std::pair<FactKind, std::string>> found;
-  for (const Fact& fact : aFacts.m_facts) {
-    found.emplace(fact.m_kind, fact.m_name);
+  if (aNews.m_from > m_revision) {
+    return NewsOutcome::Gap;
+  }
+  if (aNews.m_to > m_revision) {
+    Take(aNews.m_facts, aNow);
+    if (aNews.m_from == 0) {
+      std::set<std::pair<FactKind, std::string>> found;
+      for (const Fact& fact : aNews.m_facts) {
+        found.emplace(fact.m_kind, fact.m_name);
+      }
+      m_beliefs.EndListing(aNews.m_to, found, aNow);
+    }
+    m_revision = aNews.m_to;
+  }
+  m_learnedAt = std::max(m_learnedAt, aNow - aNews.m_age);
+  m_confirmed = true;
+  if (aNews.m_age < m_patience) {
+    // Another host reaches the registry on this one's behalf.
+    m_failures = 0;
   }
-  Take(aFacts.m_facts, aNow);
-  m_beliefs.EndListing(aFacts.m_revision, found, aNow);
-  m_revision = aFacts.m_revision;
-  m_learnedAt = aNow;
   if (!m_inCall) {
     m_listing = false;
     m_after.clear();
   }
-  return true;
+  return NewsOutcome::Learned;
+}
+
+std::optional<News>
+Reader::NewsSince(std::uint64_t aRevision, base::Instant aNow) const
+{
+  if (!m_confirmed || !m_beliefs.IsComplete()) {
+    return std::nullopt;
+  }
+  const auto changed = m_beliefs.FactsSince(aRevision, aNow);
+  const std::uint64_t from = changed ? aRevision : 0;
+  return News{ from,
+               m_revision,
+               aNow - m_learnedAt,
+               changed ? *changed : *m_beliefs.FactsSince(0, aNow) };
+}
+
+bool
+Reader::OthersRead(base::Instant aNow) const
+{
+  return !m_listing && !m_hurried && m_failures == 0 &&
+         aNow - m_learnedAt < m_patience;
 }
 
 void
 Reader::Hurry(base::Instant aNow)
 {
   if (m_failures == 0) {
-    m_due = std::min(m_due, std::max(aNow, m_answeredAt + kHurryPause));
+    m_hurried = true;
+    const base::Instant last = std::max(m_answeredAt, m_learnedAt);
+    m_due = std::min(m_due, std::max(aNow, last + kHurryPause));
   }
 }
 
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "wasabiloom/registry/Beliefs.h"
+#include "wasabiloom/registry/News.h"
 #include "wasabiloom/registry/Source.h"
 
 #include <random>
@@ -38,6 +39,8 @@
 
   Kind m_kind = Kind::None;
   std::string m_after;
+  /// Whether the page may be older than the registry's present state.
+  bool m_mayBeStale = false;
   std::uint64_t m_revision = 0;
   base::Duration m_wait{ 0 };
   base::Duration m_timeout{ 0 };
@@ -64,9 +67,21 @@
   virtual void OnListed(std::uint64_t aRevision, std::size_t aFacts) = 0;
 };
 
+/// What came of news.
+enum class NewsOutcome : std::uint8_t
+{
+  /// Something new was learned, or that nothing has changed.
+  Learned,
+  /// Older than what is known.
+  Stale,
+  /// It leaves out changes that are not known here.
+  Gap,
+};
+
 /// Lists once, then watches; lists again when the history has gone. Makes one
 /// call at a time, paces watches that bring changes, backs off with jitter
-/// after failures. One thread at a time.
+/// after failures. While others read on its behalf, it calls only when their
+/// news stays away. One thread at a time.
 class Reader
 {
 public:
@@ -84,14 +99,26 @@
   void OnChanges(const Changes& aChanges, base::Instant aNow);
   void OnFailure(const CallFailure& aFailure, base::Instant aNow);
 
-  /// Takes in what a peer believes at `aRevision`, unless the reader knows
-  /// newer. Returns whether it was of use.
-  bool OnPeerFacts(const Page& aFacts, base::Instant aNow);
+  /// Takes in what a peer has learned.
+  NewsOutcome OnNews(const News& aNews, base::Instant aNow);
+
+  /// What this host can tell a peer that knows all up to `aRevision`; empty
+  /// when it knows too little itself.
+  std::optional<News> NewsSince(std::uint64_t aRevision,
+                                base::Instant aNow) const;
+
+  /// Calls are made only when the last news is older than `aPatience`; zero
+  /// for a host that reads on behalf of others.
+  void SetPatience(base::Duration aPatience) { m_patience = aPatience; }
 
   /// Makes the next call due now, not earlier than `kHurryPause` after the
-  /// last answer.
+  /// last answer or news.
   void Hurry(base::Instant aNow);
 
+  /// Whether the facts known are those of the registry's present, not of a
+  /// listing that may have been stale.
+  bool IsConfirmed() const { return m_confirmed; }
+
   /// Revision up to which all changes are known; 0 before the first listing.
   std::uint64_t Revision() const { return m_revision; }
 
@@ -109,6 +136,7 @@
   void Take(const std::vector<Fact>& aFacts, base::Instant aNow);
   void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
   void RestartListing();
+  bool OthersRead(base::Instant aNow) const;
 
   ReaderTiming m_timing;
   std::mt19937_64 m_random;
@@ -117,6 +145,10 @@
   bool m_listing = true;
   bool m_inCall = false;
   bool m_reached = false;
+  bool m_confirmed = false;
+  bool m_mayBeStale = true;
+  bool m_hurried = false;
+  base::Duration m_patience{ 0 };
   std::string m_after;
   std::uint64_t m_listRevision = 0;
   std::set<std::pair<FactKind, std::string>> m_found;
--- a/src/wasabiloom/registry/Source.h
+++ b/src/wasabiloom/registry/Source.h
@@ -47,8 +47,10 @@
 public:
   virtual ~Source();
 
-  /// Reads the page that begins after `aAfter`; empty for the first.
+  /// Reads the page that begins after `aAfter`; empty for the first. It may
+  /// be seconds old, and costs the registry less, where `aMayBeStale` is set.
   virtual void List(const std::string& aAfter,
+                    bool aMayBeStale,
                     base::Duration aTimeout,
                     std::function<void(ListAnswer)> aOnAnswer) = 0;
 
--- a/src/wasabiloom/settings/TokenHostSettings.cpp
+++ b/src/wasabiloom/settings/TokenHostSettings.cpp
@@ -4,6 +4,8 @@
 #include "wasabiloom/jsonc/Parser.h"
 #include "wasabiloom/settings/LogLevels.h"
 
+#include <algorithm>
+
 namespace wasabiloom::settings {
 
 namespace {
@@ -18,6 +20,8 @@
 constexpr double kDefaultZoneOutMs = 5000;
 constexpr double kDefaultInTouchMs = 4000;
 constexpr double kDefaultStopGraceMs = 6000;
+constexpr double kDefaultConfigMs = 3000;
+constexpr double kDefaultDrainMs = 3000;
 
 base::Duration
 Milliseconds(double aCount)
@@ -58,6 +62,13 @@
   BOOST_LEAF_AUTO(grace,
                   aReader.NumberOr(
                     "stop_grace_ms", 0, kMaxMilliseconds, kDefaultStopGraceMs));
+  BOOST_LEAF_AUTO(
+    config,
+    aReader.NumberOr("config_ms", 0, kMaxMilliseconds, kDefaultConfigMs));
+  BOOST_LEAF_AUTO(
+    drain,
+    aReader.NumberOr("drain_ms", 0, kMaxMilliseconds, kDefaultDrainMs));
+  aSettings.m_newsWithin = Milliseconds(std::min({ config, drain, zoneOut }));
   aSettings.m_zoneOut = Milliseconds(zoneOut);
   aSettings.m_inTouch = Milliseconds(inTouch);
   aSettings.m_stopGrace = Milliseconds(grace);
--- a/src/wasabiloom/settings/TokenHostSettings.h
+++ b/src/wasabiloom/settings/TokenHostSettings.h
@@ -35,6 +35,8 @@
   base::Duration m_zoneOut{ 0 };
   /// A host that lost touch must know the news again within this.
   base::Duration m_inTouch{ 0 };
+  /// Whatever the registry publishes must be in force within this.
+  base::Duration m_newsWithin{ 0 };
   /// A process that is told to stop is killed after this.
   base::Duration m_stopGrace{ 0 };
   std::string m_logLevel;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -218,13 +218,15 @@
 void
 TokenHost::OnUnknownToken(const TokenPacket& aPacket, base::Instant aNow)
 {
-  m_reader.Hurry(aNow);
+  if (aNow - m_reader.LearnedAt() > kUnknownTokenNews) {
+    m_reader.Hurry(aNow);
+  }
   Decision decision = Describe(aPacket, Reason::TokenUnknown, aNow);
   const FlowRecord* record = m_flows.FindOrAdd(aPacket.m_flow, aNow);
   const bool waited =
     record != nullptr && aNow - record->m_firstSeenAt > kUnknownTokenGrace;
   const bool isCurrent = !m_reader.IsFailing() && record != nullptr &&
-                         m_reader.AnsweredAt() > record->m_firstSeenAt;
+                         m_reader.LearnedAt() > record->m_firstSeenAt;
   if (waited && isCurrent) {
     Reset(aPacket, decision);
     return;
@@ -346,29 +348,30 @@
   ReleaseHeld(aNow);
 }
 
-bool
-TokenHost::OnPeerFacts(const registry::Page& aFacts, base::Instant aNow)
+registry::NewsOutcome
+TokenHost::OnNews(const registry::News& aNews, base::Instant aNow)
 {
   const std::uint64_t before = m_reader.Revision();
-  if (!m_reader.OnPeerFacts(aFacts, aNow)) {
-    return false;
+  const registry::NewsOutcome outcome = m_reader.OnNews(aNews, aNow);
+  if (m_reader.Revision() > before) {
+    m_effects.LogBelief("learned_from_peer",
+                        "revision=" + std::to_string(aNews.m_to) +
+                          " before=" + std::to_string(before));
   }
-  m_effects.LogBelief("learned_from_peer",
-                      "revision=" + std::to_string(aFacts.m_revision) +
-                        " before=" + std::to_string(before));
   ReleaseHeld(aNow);
-  return true;
+  return outcome;
 }
 
-registry::Page
-TokenHost::FactsForPeer() const
+std::optional<registry::News>
+TokenHost::NewsSince(std::uint64_t aRevision, base::Instant aNow) const
 {
-  registry::Page page;
-  if (IsReady()) {
-    page.m_facts = m_beliefs.ToFacts();
-    page.m_revision = m_reader.Revision();
-  }
-  return page;
+  return m_reader.NewsSince(aRevision, aNow);
+}
+
+void
+TokenHost::SetPatience(base::Duration aPatience)
+{
+  m_reader.SetPatience(aPatience);
 }
 
 void
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -1,6 +1,7 @@
 /// The entry host under the token policy, without sockets, threads or clocks.
 #pragma once
 
+#include "wasabiloom/fleet/FactPool.h"
 #include "wasabiloom/registry/Reader.h"
 #include "wasabiloom/token/BeliefLog.h"
 #include "wasabiloom/token/Decision.h"
@@ -43,12 +44,15 @@
 /// token for so long.
 constexpr base::Duration kUnknownTokenGrace = std::chrono::seconds(3);
 
+/// A token that leads nowhere is worth a call when the news is older.
+constexpr base::Duration kUnknownTokenNews = std::chrono::milliseconds(250);
+
 /// A flow silent for longer does not count as load.
 constexpr base::Duration kLoadIdle = std::chrono::seconds(4);
 
 /// Delivers packets by the token that they carry and places new flows. Equal
 /// inputs give equal outputs. One thread at a time.
-class TokenHost final
+class TokenHost final : public fleet::FactPool
 {
 public:
   /// The references must outlive the host. `aSeed` differs between processes.
@@ -57,7 +61,7 @@
             std::uint64_t aSeed,
             const packet::TokenCodec& aCodec,
             TokenEffects& aEffects);
-  ~TokenHost();
+  ~TokenHost() override;
   TokenHost(const TokenHost&) = delete;
   TokenHost& operator=(const TokenHost&) = delete;
 
@@ -69,17 +73,22 @@
   void OnListAnswer(const registry::ListAnswer& aAnswer, base::Instant aNow);
   void OnWatchAnswer(const registry::WatchAnswer& aAnswer, base::Instant aNow);
 
-  /// What a peer believes. Returns whether it was of use.
-  bool OnPeerFacts(const registry::Page& aFacts, base::Instant aNow);
-
-  /// What this host can tell a peer; its revision is 0 while it knows nothing.
-  registry::Page FactsForPeer() const;
+  registry::NewsOutcome OnNews(const registry::News& aNews,
+                               base::Instant aNow) override;
+  std::optional<registry::News> NewsSince(std::uint64_t aRevision,
+                                          base::Instant aNow) const override;
+  base::Instant AnsweredAt() const override { return m_reader.AnsweredAt(); }
+  std::uint64_t Revision() const override { return m_reader.Revision(); }
+  void SetPatience(base::Duration aPatience) override;
 
   /// Time passed. To be called a few times a second.
   void OnTick(base::Instant aNow);
 
   /// Whether the host knows enough to place flows.
-  bool IsReady() const { return m_beliefs.IsComplete(); }
+  bool IsReady() const
+  {
+    return m_beliefs.IsComplete() && m_reader.IsConfirmed();
+  }
 
   /// Whether the registry has not answered for `aSpan`.
   bool IsCutOff(base::Duration aSpan, base::Instant aNow) const;
@@ -90,7 +99,6 @@
   const Totals& GetTotals() const { return m_totals; }
   const registry::Beliefs& GetBeliefs() const { return m_beliefs; }
   std::size_t FlowCount() const { return m_flows.Size(); }
-  std::uint64_t Revision() const { return m_reader.Revision(); }
 
 private:
   struct Held
--- a/tests/unit/BeliefsTests.cpp
+++ b/tests/unit/BeliefsTests.cpp
@@ -209,7 +209,9 @@
   here.EndListing(
     6, { { FactKind::Server, "i-1" }, { FactKind::ZoneOut, "b" } }, At(0));
   Beliefs there;
-  for (const auto& fact : here.ToFacts()) {
+  const auto told = here.FactsSince(0, At(0));
+  ASSERT_TRUE(told);
+  for (const auto& fact : *told) {
     there.Apply(fact, At(0));
   }
   EXPECT_EQ(there.InForce(), here.InForce());
--- /dev/null
+++ b/tests/unit/FactRelayTests.cpp
@@ -0,0 +1,137 @@
+#include "support/FleetNet.h"
+#include "support/Section.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabiloom::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kHosts = 36;
+constexpr std::size_t kZones = 3;
+
+/// The bound of the smallest site: a change is in force within it.
+constexpr base::Duration kWithin = 3s;
+
+/// Hosts that don't know the latest revision, leaving out `aExcept`.
+std::size_t
+CountBehind(const FleetNet& aNet,
+            std::uint64_t aRevision,
+            std::size_t aExcept = kHosts)
+{
+  std::size_t behind = 0;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    behind += i != aExcept && aNet.RevisionOf(i) < aRevision ? 1 : 0;
+  }
+  return behind;
+}
+
+/// The host of zone 0 that reads.
+std::size_t
+ReaderOfFirstZone(const FleetNet& aNet)
+{
+  for (std::size_t i = 0; i < kHosts; i += kZones) {
+    if (aNet.IsReader(i)) {
+      return i;
+    }
+  }
+  return kHosts;
+}
+
+} // namespace
+
+TEST(FactRelay, LetsOneHostAZoneRead)
+{
+  constexpr std::size_t kMany = 90;
+  FleetNet net(kMany, kZones, 1);
+  net.RunFor(5s);
+  std::size_t readers = 0;
+  for (std::size_t i = 0; i < kMany; ++i) {
+    readers += net.IsReader(i) ? 1 : 0;
+  }
+  EXPECT_EQ(readers, kZones);
+
+  Section("calls are a twentieth of one a second and host", [&] {
+    constexpr std::uint64_t kSeconds = 20;
+    const std::uint64_t before = net.Calls();
+    for (std::uint64_t second = 0; second < kSeconds; ++second) {
+      net.Publish();
+      net.RunFor(1s);
+    }
+    EXPECT_LE(net.Calls() - before, kSeconds * kMany / 20);
+  });
+  Section("and all know a change soon", [&] {
+    net.Publish();
+    net.RunFor(1s);
+    EXPECT_EQ(CountBehind(net, net.RevisionOf(ReaderOfFirstZone(net))), 0U);
+  });
+}
+
+TEST(FactRelay, ReplacesAReader)
+{
+  FleetNet net(kHosts, kZones, 2);
+  net.m_loss = 0.01;
+  net.RunFor(5s);
+  const std::size_t reader = ReaderOfFirstZone(net);
+  std::uint64_t revision = net.RevisionOf(reader);
+
+  Section("that the registry does not answer", [&] {
+    net.m_silent = [&](std::size_t aHost) { return aHost == reader; };
+    net.Publish();
+    net.RunFor(kWithin);
+    EXPECT_EQ(CountBehind(net, ++revision), 0U)
+      << "it hears from the others itself";
+    net.m_silent = nullptr;
+    net.RunFor(3s);
+  });
+  Section("that stands still", [&] {
+    net.Freeze(reader);
+    net.Publish();
+    net.RunFor(kWithin);
+    EXPECT_EQ(CountBehind(net, ++revision, reader), 0U);
+    net.Thaw(reader);
+    net.RunFor(3s);
+  });
+  Section("that dies, and the one that follows it", [&] {
+    net.Kill(reader);
+    net.RunFor(8s);
+    const std::size_t next = ReaderOfFirstZone(net);
+    EXPECT_NE(next, reader);
+    net.Freeze(next);
+    net.Publish();
+    net.RunFor(kWithin);
+    net.Start(reader);
+    net.RunFor(1s);
+    EXPECT_EQ(CountBehind(net, ++revision, next), 0U);
+  });
+}
+
+TEST(FactRelay, SurvivesLossAndPartitionsOfTheZone)
+{
+  FleetNet net(kHosts, kZones, 3);
+  net.m_loss = 0.2;
+  net.RunFor(5s);
+  std::uint64_t revision = net.RevisionOf(0);
+
+  Section("a fifth of the datagrams is lost", [&] {
+    for (int i = 0; i < 20; ++i) {
+      net.Publish();
+      net.RunFor(kWithin);
+      EXPECT_EQ(CountBehind(net, ++revision), 0U);
+    }
+  });
+  Section("half of a zone can't hear the other half", [&] {
+    net.m_cut = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom < kHosts / 2) != (aTo < kHosts / 2);
+    };
+    for (int i = 0; i < 5; ++i) {
+      net.Publish();
+      net.RunFor(kWithin);
+      EXPECT_EQ(CountBehind(net, ++revision), 0U);
+    }
+  });
+}
+
+} // namespace wasabiloom::tests
--- a/tests/unit/FactsCodecTests.cpp
+++ b/tests/unit/FactsCodecTests.cpp
@@ -8,54 +8,56 @@
 namespace wasabiloom::tests {
 
 using base::ResultCode;
-using registry::DecodeFacts;
-using registry::EncodeFacts;
-using registry::Page;
+using registry::DecodeNews;
+using registry::EncodeNews;
+using registry::News;
 
 namespace {
 
-Page
+News
 Sample()
 {
   auto server = MakeServer("i-1");
   server.m_coldFor = std::chrono::milliseconds(700);
-  return {
-    { ConfigurationFact(3, 4), ServerFact(server, 5), ZoneOutFact("b", 6) },
-    "",
-    9
-  };
+  return { 3,
+           9,
+           std::chrono::milliseconds(40),
+           { ConfigurationFact(3, 4),
+             ServerFact(server, 5),
+             ZoneOutFact("b", 6),
+             RemovedFact(registry::FactKind::Server, "i-2", 7),
+             RemovedFact(registry::FactKind::ZoneOut, "c", 8) } };
 }
 
 } // namespace
 
 TEST(FactsCodec, BringsFactsAcross)
 {
-  const auto read = ValueOf([] { return DecodeFacts(EncodeFacts(Sample())); });
-  EXPECT_EQ(read.m_facts, Sample().m_facts);
-  EXPECT_EQ(read.m_revision, 9U);
+  const auto read = ValueOf([] { return DecodeNews(EncodeNews(Sample())); });
+  EXPECT_EQ(read, Sample());
 }
 
 TEST(FactsCodec, RefusesWhatIsNone)
 {
-  const std::string whole = EncodeFacts(Sample());
+  const std::string whole = EncodeNews(Sample());
   for (std::size_t length = 0; length < whole.size(); ++length) {
     const auto problem = ProblemOf(
-      [&] { return DecodeFacts(std::string_view(whole).substr(0, length)); });
+      [&] { return DecodeNews(std::string_view(whole).substr(0, length)); });
     EXPECT_EQ(problem.m_code, ResultCode::PeerMessageMalformed) << length;
   }
 }
 
 RC_GTEST_PROP(FactsCodec, SurvivesAnyBytes, (const std::string& aBytes))
 {
-  ProblemOf([&] { return DecodeFacts(aBytes); });
+  ProblemOf([&] { return DecodeNews(aBytes); });
 }
 
 RC_GTEST_PROP(FactsCodec, SurvivesAnyChange, ())
 {
-  std::string bytes = EncodeFacts(Sample());
+  std::string bytes = EncodeNews(Sample());
   const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
   bytes[at] = *rc::gen::arbitrary<char>();
-  ProblemOf([&] { return DecodeFacts(bytes); });
+  ProblemOf([&] { return DecodeNews(bytes); });
 }
 
 } // namespace wasabiloom::tests
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -47,11 +47,13 @@
   Events m_events;
   Reader m_reader{ m_timing, 7, m_beliefs, m_events };
 
-  /// Lists one page with a configuration at `aRevision`.
+  /// Lists one page with a configuration at `aRevision`, and confirms it.
   void List(std::uint64_t aRevision)
   {
     EXPECT_EQ(m_reader.Next(At(0)).m_kind, Kind::List);
     m_reader.OnPage({ { ConfigurationFact(1, 1) }, "", aRevision }, At(0));
+    EXPECT_EQ(m_reader.Next(At(0)).m_kind, Kind::Watch);
+    m_reader.OnChanges({ {}, aRevision }, At(0));
   }
 };
 
@@ -78,6 +80,11 @@
     const ReaderCall watch = reader.Next(At(0));
     EXPECT_EQ(watch.m_kind, Kind::Watch);
     EXPECT_EQ(watch.m_revision, 10U);
+    reader.OnChanges({ {}, 14 }, At(0));
+  });
+  Section("waiting for changes once the listing is confirmed", [&] {
+    const ReaderCall watch = reader.Next(At(0));
+    EXPECT_EQ(watch.m_revision, 14U);
     EXPECT_EQ(watch.m_wait, setup.m_timing.m_watchWait);
     EXPECT_GT(watch.m_timeout, watch.m_wait);
   });
@@ -160,15 +167,40 @@
   EXPECT_EQ(lost->m_presence, Presence::Lapsed);
 }
 
-TEST(Reader, TakesFactsFromPeersOnlyWhenTheyAreNewer)
+TEST(Reader, ConfirmsAListingThatMayBeStale)
+{
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  EXPECT_TRUE(reader.Next(At(0)).m_mayBeStale);
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "", 10 }, At(0));
+  EXPECT_FALSE(reader.IsConfirmed());
+  EXPECT_FALSE(reader.NewsSince(0, At(0))) << "nor are others told";
+
+  Section("by a watch that returns at once", [&] {
+    const ReaderCall watch = reader.Next(At(0));
+    EXPECT_EQ(watch.m_kind, Kind::Watch);
+    EXPECT_EQ(watch.m_revision, 10U);
+    EXPECT_EQ(watch.m_wait, base::Duration::zero());
+    reader.OnChanges({ { ConfigurationFact(2, 11) }, 11 }, At(0));
+    EXPECT_TRUE(reader.IsConfirmed());
+  });
+  Section("and lists afresh when that history has gone", [&] {
+    reader.Next(At(1));
+    reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(1));
+    const ReaderCall list = reader.Next(At(2));
+    EXPECT_EQ(list.m_kind, Kind::List);
+    EXPECT_FALSE(list.m_mayBeStale);
+  });
+}
+
+TEST(Reader, TakesNewsOnlyWhenItIsNewer)
 {
   ReaderUnderTest setup;
   Reader& reader = setup.m_reader;
   reader.Next(At(0));
-  const Page peer{ { ConfigurationFact(3, 5) }, "", 20 };
-  EXPECT_TRUE(reader.OnPeerFacts(peer, At(0)));
+  const News whole{ 0, 20, {}, { ConfigurationFact(3, 5) } };
+  EXPECT_EQ(reader.OnNews(whole, At(0)), NewsOutcome::Learned);
   EXPECT_TRUE(setup.m_beliefs.IsComplete());
-  EXPECT_FALSE(reader.OnPeerFacts(peer, At(0)));
   EXPECT_EQ(reader.LearnedAt(), At(0));
   EXPECT_EQ(reader.AnsweredAt(), base::Instant{});
 
@@ -177,10 +209,89 @@
     EXPECT_EQ(setup.m_beliefs.InForce().m_version, 4U);
     EXPECT_EQ(reader.Next(At(1)).m_revision, 22U);
   });
-  Section("an older listing takes nothing back", [&] {
-    EXPECT_FALSE(
-      reader.OnPeerFacts({ { ConfigurationFact(2, 2) }, "", 21 }, At(2)));
+  Section("older news takes nothing back", [&] {
+    EXPECT_EQ(reader.OnNews({ 0, 21, {}, { ConfigurationFact(2, 2) } }, At(2)),
+              NewsOutcome::Stale);
+    EXPECT_EQ(setup.m_beliefs.InForce().m_version, 4U);
+  });
+  Section("changes that leave some out are not taken", [&] {
+    EXPECT_EQ(
+      reader.OnNews({ 23, 24, {}, { ConfigurationFact(6, 24) } }, At(2)),
+      NewsOutcome::Gap);
     EXPECT_EQ(setup.m_beliefs.InForce().m_version, 4U);
+    EXPECT_EQ(reader.Revision(), 22U);
+  });
+  Section("those that overlap are", [&] {
+    EXPECT_EQ(
+      reader.OnNews({ 20, 24, {}, { ConfigurationFact(6, 24) } }, At(2)),
+      NewsOutcome::Learned);
+    EXPECT_EQ(setup.m_beliefs.InForce().m_version, 6U);
+  });
+}
+
+TEST(Reader, TellsWhatChangedSince)
+{
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnChanges({ { ServerFact(MakeServer("i-1"), 11),
+                       ServerFact(MakeServer("i-2"), 12),
+                       ZoneOutFact("b", 13) },
+                     13 },
+                   At(0));
+  reader.Next(At(1));
+  reader.OnChanges({ { RemovedFact(FactKind::Server, "i-1", 14),
+                       RemovedFact(FactKind::ZoneOut, "b", 15) },
+                     15 },
+                   At(1));
+
+  Section("a peer that follows learns of removals too", [&] {
+    const auto news = reader.NewsSince(13, At(1.5));
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->m_facts,
+              (std::vector{ RemovedFact(FactKind::Server, "i-1", 14),
+                            RemovedFact(FactKind::ZoneOut, "b", 15) }));
+    EXPECT_EQ(news->m_age, std::chrono::milliseconds(500));
+  });
+  Section("a peer that knows nothing is told what is there", [&] {
+    const auto news = reader.NewsSince(0, At(1.5));
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->m_facts.size(), 2U);
+  });
+  Section("and so is one that missed what was forgotten", [&] {
+    setup.m_beliefs.Tick(At(10));
+    setup.m_beliefs.Tick(At(100));
+    const auto news = reader.NewsSince(13, At(100));
+    ASSERT_TRUE(news);
+    EXPECT_EQ(news->m_from, 0U);
+  });
+}
+
+TEST(Reader, LeavesReadingToOthersWhileTheirNewsIsFresh)
+{
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnChanges({ {}, 10 }, At(0));
+  reader.SetPatience(std::chrono::seconds(2));
+  EXPECT_EQ(reader.Next(At(1.9)).m_kind, Kind::None);
+
+  Section("news of age half a second lasts so much less", [&] {
+    reader.OnNews({ 10, 10, std::chrono::milliseconds(500), {} }, At(1.9));
+    EXPECT_EQ(reader.Next(At(3.3)).m_kind, Kind::None);
+    EXPECT_EQ(reader.Next(At(3.5)).m_kind, Kind::Watch);
+    reader.OnFailure(kUnavailable, At(3.5));
+  });
+  Section("a call that failed is forgotten once others get through", [&] {
+    reader.OnNews({ 10, 11, {}, {} }, At(4));
+    EXPECT_FALSE(reader.IsFailing());
+    EXPECT_EQ(reader.Next(At(5.9)).m_kind, Kind::None);
+  });
+  Section("a hurry does not wait for others", [&] {
+    reader.Hurry(At(5.9));
+    EXPECT_EQ(reader.Next(At(5.9)).m_kind, Kind::Watch);
   });
 }
 
--- /dev/null
+++ b/tests/unit/RosterTests.cpp
@@ -0,0 +1,126 @@
+#include "support/FleetNet.h"
+#include "support/Section.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace wasabiloom::tests {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Within this all know of a death: a round of probes of the zone may pass
+/// before one meets it, then suspicion lasts.
+constexpr base::Duration kDeathKnownWithin = 8s;
+
+/// Hosts whose roster does not list all of `aHosts`.
+std::size_t
+CountIgnorant(const FleetNet& aNet, std::size_t aHosts, std::size_t aExpected)
+{
+  std::size_t ignorant = 0;
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    ignorant += aNet.RosterOf(i).LiveCount() == aExpected ? 0 : 1;
+  }
+  return ignorant;
+}
+
+} // namespace
+
+TEST(Roster, LetsHostsFindEachOtherThroughSeeds)
+{
+  FleetNet net(90, 4, 1);
+  net.RunFor(3s);
+  EXPECT_EQ(CountIgnorant(net, 90, 90), 0U);
+
+  Section("each zone agrees on the ranks", [&] {
+    std::vector<std::size_t> counts(90);
+    for (std::size_t i = 0; i < 90; i += 4) {
+      ++counts[net.RosterOf(i).RankInZone()];
+    }
+    EXPECT_EQ(std::ranges::count(counts, 1U), 23);
+  });
+  Section("a host that starts later is known to all", [&] {
+    net.Kill(7);
+    net.RunFor(10s);
+    net.Start(7);
+    net.RunFor(3s);
+    EXPECT_EQ(CountIgnorant(net, 90, 90), 0U);
+  });
+}
+
+TEST(Roster, StartsWithoutTheSeeds)
+{
+  FleetNet net(9, 3, 2);
+  for (std::size_t seed = 0; seed < 3; ++seed) {
+    net.Kill(seed);
+  }
+  net.RunFor(2s);
+  EXPECT_EQ(net.RosterOf(5).LiveCount(), 1U) << "nobody to ask";
+  net.Start(0);
+  net.RunFor(3s);
+  EXPECT_EQ(net.RosterOf(5).LiveCount(), 7U);
+}
+
+TEST(Roster, LearnsOfADeathSoon)
+{
+  FleetNet net(90, 4, 3);
+  net.RunFor(5s);
+  net.Kill(40);
+  net.RunFor(kDeathKnownWithin);
+  EXPECT_EQ(net.CountGone(40), 89U);
+}
+
+TEST(Roster, HoldsNoLivingHostForGone)
+{
+  FleetNet net(90, 4, 4);
+  net.m_loss = 0.01;
+  net.RunFor(60s);
+  EXPECT_EQ(net.FalseDepartures(), 0U) << "with one datagram in a hundred lost";
+
+  Section("nor those whom a host that stood still has missed", [&] {
+    for (std::size_t i = 0; i < 5; ++i) {
+      net.Freeze(11);
+      net.RunFor(5s);
+      net.Thaw(11);
+      net.RunFor(5s);
+      EXPECT_EQ(net.CountGone(11), 0U);
+    }
+    EXPECT_EQ(net.FalseDepartures(), 0U);
+  });
+}
+
+TEST(Roster, HealsAfterAPartition)
+{
+  FleetNet net(36, 3, 5);
+  net.RunFor(5s);
+  net.m_cut = [](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom % 3 == 0) != (aTo % 3 == 0);
+  };
+  net.RunFor(20s);
+  EXPECT_EQ(net.RosterOf(0).LiveCount(), 12U);
+  EXPECT_EQ(net.RosterOf(1).LiveCount(), 24U);
+  net.m_cut = nullptr;
+  net.RunFor(10s);
+  EXPECT_EQ(CountIgnorant(net, 36, 36), 0U);
+}
+
+TEST(Roster, CostsTheSameInLargeFleets)
+{
+  constexpr double kBytesASecond = 3000;
+  for (const std::size_t hosts : { 9U, 90U, 300U }) {
+    FleetNet net(hosts, 3, 6);
+    net.RunFor(5s);
+    const std::uint64_t before = net.Bytes();
+    net.RunFor(20s);
+    const double each =
+      static_cast<double>(net.Bytes() - before) / 20 /
+      static_cast<double>(hosts);
+    EXPECT_LT(each, kBytesASecond) << hosts << " hosts";
+    RecordProperty("bytes_a_second_" + std::to_string(hosts),
+                   std::to_string(each));
+  }
+}
+
+} // namespace wasabiloom::tests
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -93,6 +93,8 @@
     }
     m_host.OnListAnswer(page, At(0));
     m_host.NextCall(At(0));
+    m_host.OnWatchAnswer(registry::Changes{ {}, 10 }, At(0));
+    m_host.NextCall(At(0));
   }
 
   /// Lets the host watch `aFacts` come at `aSeconds`.
