--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -158,7 +158,7 @@
 bool
 Reader::OthersRead(base::Instant aNow) const
 {
-  return !m_listing && !m_hurried && m_failures == 0 &&
+  return m_confirmed && !m_listing && !m_hurried && m_failures == 0 &&
          aNow - m_learnedAt < m_patience;
 }
 
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -268,6 +268,16 @@
   });
 }
 
+TEST(Reader, ConfirmsItsListingThoughOthersRead)
+{
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.SetPatience(std::chrono::seconds(2));
+  reader.Next(At(0));
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "", 10 }, At(0));
+  EXPECT_EQ(reader.Next(At(0)).m_kind, Kind::Watch);
+}
+
 TEST(Reader, LeavesReadingToOthersWhileTheirNewsIsFresh)
 {
   ReaderUnderTest setup;
