Packets held up on their way count for nothing; doubt is forgotten

Cause: a host that woke, or that released held packets, handled a packet and its copy at once; the copy counted as unanswered though no time had passed, and a living server was avoided for 1.5 s. Suspicion kept an entry for each start it heard of. Change: a repetition within 0.1 s of the last packet says nothing of the server; entries go 30 s after the last doubt and sign of life. Dead members removed. Tests: CountsNoCopyThatWasHeldUpOnItsWay, CountsNoRepetitionThatWasHeldUpOnItsWay, both failed before; Suspicion.ForgetsServersOfWhomNothingIsHeard.

--- a/src/wasabiloom/placing/Suspicion.cpp
+++ b/src/wasabiloom/placing/Suspicion.cpp
@@ -47,6 +47,15 @@
   doubt.m_aliveAt = aNow;
 }
 
+void
+Suspicion::Sweep(base::Instant aNow)
+{
+  std::erase_if(m_known, [&](const auto& aEntry) {
+    const Doubt& doubt = aEntry.second;
+    return aNow - std::max(doubt.m_until, doubt.m_aliveAt) > kDoubtMemory;
+  });
+}
+
 bool
 Suspicion::IsSuspect(std::uint32_t aToken, base::Instant aNow) const
 {
--- a/src/wasabiloom/placing/Suspicion.h
+++ b/src/wasabiloom/placing/Suspicion.h
@@ -13,6 +13,10 @@
 constexpr base::Duration kFirstDoubt = std::chrono::milliseconds(1500);
 constexpr base::Duration kLongestDoubt = std::chrono::seconds(12);
 
+/// What is known of a server is forgotten so long after the last doubt and the
+/// last sign of life.
+constexpr base::Duration kDoubtMemory = std::chrono::seconds(30);
+
 /// Stalled flows of one server, with none that goes on, that raise doubt.
 constexpr std::uint32_t kStallsForDoubt = 2;
 
@@ -36,8 +40,10 @@
   /// When `aToken` last gave a sign of life; the epoch when never.
   base::Instant AliveAt(std::uint32_t aToken) const;
 
-  /// Forgets a server that is gone.
-  void Forget(std::uint32_t aToken) { m_known.erase(aToken); }
+  /// Forgets servers that neither raised doubt nor gave a sign of life lately.
+  void Sweep(base::Instant aNow);
+
+  std::size_t Size() const { return m_known.size(); }
 
 private:
   struct Doubt
--- a/src/wasabiloom/token/ServerWatch.cpp
+++ b/src/wasabiloom/token/ServerWatch.cpp
@@ -56,7 +56,8 @@
     isFirst ? aRecord.m_opened
             : IsAfter(aPacket.m_acknowledged, aRecord.m_acknowledged);
   const bool repeats = !isFirst && aPacket.m_payloadBytes > 0 && !heard &&
-                       !IsAfter(aPacket.m_sequence, aRecord.m_sequence);
+                       !IsAfter(aPacket.m_sequence, aRecord.m_sequence) &&
+                       aNow - aRecord.m_seenAt > kRepeatedAtOnce;
   if (heard || isFirst) {
     aRecord.m_acknowledged = aPacket.m_acknowledged;
   }
@@ -146,6 +147,8 @@
 ServerWatch::Sweep(base::Instant aNow)
 {
   m_latencies.Sweep(aNow);
+  m_suspicion.Sweep(aNow);
+  m_zoneSuspicion.Sweep(aNow);
 }
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/ServerWatch.h
+++ b/src/wasabiloom/token/ServerWatch.h
@@ -19,6 +19,10 @@
 constexpr base::Duration kGoneGrace = std::chrono::milliseconds(500);
 constexpr base::Duration kSilentForCertainty = std::chrono::milliseconds(2500);
 
+/// A repetition that comes sooner was held up on its way here: it says nothing
+/// of the server.
+constexpr base::Duration kRepeatedAtOnce = std::chrono::milliseconds(100);
+
 /// Signs of life and doubt, answer times and load of all servers. One thread
 /// at a time.
 class ServerWatch
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -135,7 +135,8 @@
   if (record != nullptr && record->m_token != 0) {
     const ServerBelief* before = m_beliefs.FindToken(record->m_token);
     const bool usable = before != nullptr && m_servers.MayTakeFlow(*before);
-    if (usable && (aPacket.m_copy == 0 || record->m_answered)) {
+    const bool atOnce = aNow - record->m_seenAt <= kRepeatedAtOnce;
+    if (usable && (aPacket.m_copy == 0 || record->m_answered || atOnce)) {
       decision.m_reason = Reason::SameAsBefore;
       decision.m_token = record->m_token;
       decision.m_server = before->m_server.m_id;
--- a/tests/unit/PlacingTests.cpp
+++ b/tests/unit/PlacingTests.cpp
@@ -185,6 +185,19 @@
   EXPECT_EQ(book.At(1, At(9)), milliseconds(30));
 }
 
+TEST(Suspicion, ForgetsServersOfWhomNothingIsHeard)
+{
+  Suspicion suspicion;
+  suspicion.OnUnanswered(1, At(0));
+  suspicion.OnAlive(2, At(0));
+  suspicion.OnAlive(3, At(25));
+  suspicion.Sweep(At(20));
+  EXPECT_EQ(suspicion.Size(), 3U);
+  suspicion.Sweep(At(40));
+  EXPECT_EQ(suspicion.Size(), 1U);
+  EXPECT_EQ(suspicion.AliveAt(3), At(25));
+}
+
 TEST(Suspicion, GrowsWithSilenceAndEndsWithASign)
 {
   Suspicion suspicion;
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -258,6 +258,33 @@
   });
 }
 
+TEST_F(TokenHostTest, CountsNoCopyThatWasHeldUpOnItsWay)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2") });
+  const std::string first = Give({}, 1);
+  Sent copy;
+  copy.m_acknowledged = 1;
+  EXPECT_EQ(Give(copy, 1.001), first)
+    << "both came at once, as after a pause of this host";
+}
+
+TEST_F(TokenHostTest, CountsNoRepetitionThatWasHeldUpOnItsWay)
+{
+  Learn({ MakeServer("i-1") });
+  const auto repeat = [&](double aAfter) {
+    for (std::uint16_t port = 41000; port < 41004; ++port) {
+      Sent data = Data("i-1");
+      data.m_callerPort = port;
+      Give(data, 1);
+      Give(data, 1 + aAfter);
+    }
+    Sent open;
+    Give(open, 1 + aAfter);
+    return m_effects.m_reason;
+  };
+  EXPECT_EQ(repeat(0.001), Reason::PlacedLeastLoad);
+}
+
 TEST_F(TokenHostTest, AvoidsAZoneThatCallersDoNotHearFrom)
 {
   // The own zone has no server: new flows go to zones b and c.
