--- a/src/wasabiloom/core/PacketRouter.cpp
+++ b/src/wasabiloom/core/PacketRouter.cpp
@@ -1,5 +1,6 @@
 #include "wasabiloom/core/PacketRouter.h"
 
+#include "wasabiloom/request/Handover.h"
 #include "wasabiloom/wire/EnvelopeCodec.h"
 
 namespace wasabiloom::core {
@@ -149,9 +150,27 @@
       }
       const auto hash = RequestHash(aView.m_flow, envelope.m_id);
       const base::HostId home = m_membership.OwnerOf(hash, 0);
-      const bool leaving = m_membership.Phase() == HostPhase::Leaving;
-      if (home != m_membership.Self() && (aRelayedFrom == kNoHost || leaving)) {
-        return RelayTo(home);
+      const base::HostId previous = m_membership.PreviousOwnerOf(hash, aNow);
+      const base::HostId self = m_membership.Self();
+      request::HomeSituation situation;
+      situation.m_isKnown =
+        aService.Requests().Knows(aView.m_flow, envelope.m_id);
+      situation.m_isRepeatable = envelope.m_repeatable;
+      situation.m_isHome = home == self;
+      situation.m_wasHome = previous == self && home != self &&
+                            m_membership.Phase() == HostPhase::Ready;
+      situation.m_isLeaving = m_membership.Phase() == HostPhase::Leaving;
+      situation.m_isRelayed = aRelayedFrom != kNoHost;
+      situation.m_hasPredecessor =
+        previous != self && m_membership.IsLive(previous);
+      situation.m_fromPredecessor = aRelayedFrom == previous;
+      switch (request::DecideHome(situation)) {
+        case request::HomeAction::RelayToHome:
+          return RelayTo(home);
+        case request::HomeAction::RelayToPredecessor:
+          return RelayTo(previous);
+        case request::HomeAction::Serve:
+          break;
       }
       aService.Requests().OnCaller(aView.m_flow, envelope, aNow);
       return PacketVerdict{ PacketAction::Consumed, {}, ResultCode::Ok };
--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -188,8 +188,8 @@
   LogLine(isNear ? LogLevel::Info : LogLevel::Debug,
           "fleet",
           "event=member address=" + ToString(aMember.m_address) +
-            " zone=" + aMember.m_zone + " standing=" +
-            std::string(ToString(aMember.m_standing)) +
+            " zone=" + aMember.m_zone +
+            " standing=" + std::string(ToString(aMember.m_standing)) +
             " incarnation=" + std::to_string(aMember.m_incarnation) +
             " rank=" + std::to_string(m_roster.RankInZone()) +
             " live=" + std::to_string(m_roster.LiveCount()));
--- a/src/wasabiloom/fleet/Message.h
+++ b/src/wasabiloom/fleet/Message.h
@@ -42,16 +42,8 @@
   friend auto operator<=>(const Roll&, const Roll&) = default;
 };
 
-/// Callers of the sender don't hear from these starts of backend servers.
-struct Doubts
-{
-  std::vector<std::uint32_t> m_tokens;
-
-  friend auto operator<=>(const Doubts&, const Doubts&) = default;
-};
-
 using Content =
-  std::variant<Probe, ProbeAnswer, ProbeRequest, Roll, registry::News, Doubts>;
+  std::variant<Probe, ProbeAnswer, ProbeRequest, Roll, registry::News>;
 
 /// One datagram.
 struct Message
--- a/src/wasabiloom/fleet/MessageCodec.cpp
+++ b/src/wasabiloom/fleet/MessageCodec.cpp
@@ -55,7 +55,6 @@
     const std::string bytes = registry::EncodeNews(aNews);
     return json::array({ json::binary({ bytes.begin(), bytes.end() }) });
   }
-  json operator()(const Doubts& aDoubts) const { return aDoubts.m_tokens; }
 };
 
 registry::News
@@ -88,8 +87,6 @@
       return Roll{};
     case 4:
       return ReadNews(aValue);
-    case 5:
-      return Doubts{ aValue.get<std::vector<std::uint32_t>>() };
     default:
       throw std::invalid_argument("unknown kind of message");
   }
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -25,6 +25,15 @@
   return ranked;
 }
 
+/// The candidate with the best score for `aHash`. Precondition: there is one.
+base::HostId
+FirstFor(const std::vector<base::HostId>& aCandidates, std::uint64_t aHash)
+{
+  return *std::ranges::max_element(aCandidates, {}, [&](base::HostId aHost) {
+    return std::pair(base::Combine(aHash, aHost.m_value), aHost);
+  });
+}
+
 } // namespace
 
 Membership::Membership(base::HostId aSelf,
@@ -67,10 +76,22 @@
 base::HostId
 Membership::OwnerOf(std::uint64_t aGroup, std::size_t aMember) const
 {
+  if (aMember == 0) {
+    return FirstFor(m_candidates, aGroup);
+  }
   const auto ranked = RankFor(m_candidates, aGroup);
   return ranked[aMember % ranked.size()];
 }
 
+base::HostId
+Membership::PreviousOwnerOf(std::uint64_t aGroup, base::Instant aNow) const
+{
+  const bool isRecent =
+    m_candidatesChanged || aNow - m_candidatesSince < kHandoverTime;
+  const bool known = isRecent && !m_previousCandidates.empty();
+  return FirstFor(known ? m_previousCandidates : m_candidates, aGroup);
+}
+
 base::HostId
 Membership::BackupOf(std::uint64_t aGroup,
                      std::size_t aMember,
@@ -112,7 +133,12 @@
       m_live.push_back(host);
     }
   }
-  m_candidates = Candidates();
+  std::vector<base::HostId> candidates = Candidates();
+  if (candidates != m_candidates) {
+    m_previousCandidates = std::move(m_candidates);
+    m_candidates = std::move(candidates);
+    m_candidatesChanged = true;
+  }
   ++m_generation;
 }
 
@@ -189,6 +215,10 @@
 Membership::Tick(const KnownVersions& aVersions, base::Instant aNow)
 {
   DropSilent(aNow);
+  if (m_candidatesChanged) {
+    m_candidatesChanged = false;
+    m_candidatesSince = aNow;
+  }
   SendHeartbeats(aVersions, aNow);
 }
 
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -18,6 +18,10 @@
 /// A peer unheard for this long is taken for dead.
 constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(2000);
 
+/// After a change of owners the previous ones are asked for so long. Longer
+/// than the hosts take to learn of the change.
+constexpr base::Duration kHandoverTime = std::chrono::seconds(10);
+
 /// An entry host as the host list names it.
 struct PeerAddress
 {
@@ -56,6 +60,11 @@
   base::HostId BackupOf(std::uint64_t aGroup,
                         std::size_t aMember,
                         base::HostId aOther) const override;
+
+  /// First owner of the group before the owners last changed; the present one
+  /// when that was longer ago than kHandoverTime.
+  base::HostId PreviousOwnerOf(std::uint64_t aGroup, base::Instant aNow) const;
+
   base::Instant LastDeparture() const override { return m_lastDeparture; }
   std::uint64_t Generation() const override { return m_generation; }
 
@@ -128,6 +137,10 @@
   std::map<base::HostId, Peer> m_peers;
   std::vector<base::HostId> m_live;
   std::vector<base::HostId> m_candidates;
+  std::vector<base::HostId> m_previousCandidates;
+  /// When the candidates changed; stamped by the next Tick.
+  base::Instant m_candidatesSince;
+  bool m_candidatesChanged = false;
   std::uint64_t m_generation = 1;
   bool m_hasList = false;
   base::Instant m_listenSince;
--- a/src/wasabiloom/request/RequestHome.cpp
+++ b/src/wasabiloom/request/RequestHome.cpp
@@ -37,6 +37,12 @@
 {
 }
 
+bool
+RequestHome::Knows(const packet::FlowKey& aFlow, const std::string& aId) const
+{
+  return m_records.contains({ aFlow.m_caller, aId });
+}
+
 void
 RequestHome::OnCaller(const packet::FlowKey& aFlow,
                       const Envelope& aEnvelope,
--- a/src/wasabiloom/request/RequestHome.h
+++ b/src/wasabiloom/request/RequestHome.h
@@ -36,6 +36,9 @@
                 const Envelope& aEnvelope,
                 base::Instant aNow);
 
+  /// Whether the request `aId` of `aFlow`'s caller is on this home's books.
+  bool Knows(const packet::FlowKey& aFlow, const std::string& aId) const;
+
   /// A datagram of a backend server, matched by its dispatch id.
   void OnBackend(const Envelope& aEnvelope, base::Instant aNow);
 
--- a/src/wasabiloom/settings/TokenHostSettings.cpp
+++ b/src/wasabiloom/settings/TokenHostSettings.cpp
@@ -66,8 +66,7 @@
     config,
     aReader.NumberOr("config_ms", 0, kMaxMilliseconds, kDefaultConfigMs));
   BOOST_LEAF_AUTO(
-    drain,
-    aReader.NumberOr("drain_ms", 0, kMaxMilliseconds, kDefaultDrainMs));
+    drain, aReader.NumberOr("drain_ms", 0, kMaxMilliseconds, kDefaultDrainMs));
   aSettings.m_newsWithin = Milliseconds(std::min({ config, drain, zoneOut }));
   aSettings.m_zoneOut = Milliseconds(zoneOut);
   aSettings.m_inTouch = Milliseconds(inTouch);
