--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -13,6 +13,9 @@
 constexpr int kStaggerShare = 3;
 constexpr int kWhole = 100;
 
+/// Refused messages are reported no more often.
+constexpr base::Duration kReportInterval = std::chrono::seconds(1);
+
 fleet::RelayTiming
 TimingOf(const settings::TokenHostSettings& aSettings)
 {
@@ -128,14 +131,29 @@
         return {};
       },
       [&](const base::Problem& aProblem) {
-        LogLine(LogLevel::Warn,
-                "fleet",
-                "event=message_refused from=" + ToString(datagram.m_from) +
-                  " detail=\"" + Describe(aProblem) + "\"");
+        ReportRefused(datagram.m_from, aProblem, now);
       });
   }
 }
 
+void
+FleetLink::ReportRefused(const base::Endpoint& aFrom,
+                         const base::Problem& aProblem,
+                         base::Instant aNow)
+{
+  ++m_refused;
+  const bool isFirst = m_refusedReportedAt == base::Instant{};
+  if (!isFirst && aNow - m_refusedReportedAt < kReportInterval) {
+    return;
+  }
+  m_refusedReportedAt = aNow;
+  LogLine(LogLevel::Warn,
+          "fleet",
+          "event=message_refused from=" + ToString(aFrom) +
+            " total=" + std::to_string(m_refused) + " detail=\"" +
+            Describe(aProblem) + "\"");
+}
+
 void
 FleetLink::OnMessage(const fleet::Message& aMessage, base::Instant aNow)
 {
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -58,6 +58,9 @@
 
   void OnReadable();
   void OnMessage(const fleet::Message& aMessage, base::Instant aNow);
+  void ReportRefused(const base::Endpoint& aFrom,
+                     const base::Problem& aProblem,
+                     base::Instant aNow);
   void SendBytes(base::Ipv4Address aTo, const std::string& aBytes);
   void SetFirstPeers();
 
@@ -70,6 +73,8 @@
   PeerFacts m_first;
   PeerFacts m_teller;
   base::Ipv4Address m_tellerAddress;
+  std::uint64_t m_refused = 0;
+  base::Instant m_refusedReportedAt;
   std::unique_ptr<UdpSocket> m_socket;
   std::unique_ptr<QSocketNotifier> m_notifier;
 };
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -88,6 +88,9 @@
 for _ in $(seq 200); do echo -n junk >/dev/udp/127.78.0.1/$port; done
 await "malformed packets" logged 1 "event=malformed_packets"
 (($(grep -c "event=malformed_packets" "$work/h1.out") <= 5)) || fail "the log is flooded"
+for _ in $(seq 200); do echo -n junk >/dev/udp/127.78.0.1/7720; done
+await "refused messages of hosts" logged 1 "event=message_refused"
+(($(grep -c "event=message_refused" "$work/h1.out") <= 5)) || fail "the log is flooded"
 
 # A leaving server gets no new flow and keeps its old ones.
 entry i-a1 127.78.1.1:9000 draining
