--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -68,6 +68,7 @@
   const auto peers = FirstPeers(m_settings);
   m_roster.SetSeeds(peers);
   std::vector<base::Endpoint> endpoints;
+  endpoints.reserve(peers.size());
   for (const base::Ipv4Address peer : peers) {
     endpoints.push_back({ peer, m_settings.m_peerPort });
   }
--- a/src/wasabiloom/fleet/Roster.cpp
+++ b/src/wasabiloom/fleet/Roster.cpp
@@ -3,15 +3,11 @@
 #include "wasabiloom/base/Hash.h"
 
 #include <algorithm>
-#include <bit>
 
 namespace wasabiloom::fleet {
 
 namespace {
 
-/// Times that a statement rides along, for each doubling of the fleet.
-constexpr std::size_t kRidesADoubling = 2;
-
 /// Between two exchanges of all statements with one member; longer in large
 /// fleets, so that the bytes a second stay the same.
 constexpr base::Duration kWholeInterval = std::chrono::seconds(15);
@@ -52,18 +48,7 @@
 Message
 Roster::Compose(Content aContent)
 {
-  Message message{ m_self, {}, std::move(aContent) };
-  const std::size_t count = std::min(m_pending.size(), kUpdatesAMessage);
-  const auto end = m_pending.begin() + static_cast<std::ptrdiff_t>(count);
-  // What was told least often goes first.
-  std::ranges::partial_sort(m_pending, end, std::greater{}, &Pending::m_left);
-  std::for_each(m_pending.begin(), end, [&](Pending& aOne) {
-    message.m_updates.push_back(aOne.m_member);
-    --aOne.m_left;
-  });
-  std::erase_if(m_pending,
-                [](const Pending& aOne) { return aOne.m_left == 0; });
-  return message;
+  return { m_self, m_updates.Take(), std::move(aContent) };
 }
 
 void
@@ -97,7 +82,7 @@
   } else {
     return;
   }
-  Spread(aMember);
+  m_updates.Add(aMember, m_entries.size());
   Reindex();
   m_outbox.OnStanding(aMember);
 }
@@ -111,17 +96,7 @@
     return;
   }
   m_self.m_incarnation = aMember.m_incarnation + 1;
-  Spread(m_self);
-}
-
-void
-Roster::Spread(const Member& aMember)
-{
-  std::erase_if(m_pending, [&](const Pending& aOne) {
-    return aOne.m_member.m_address == aMember.m_address;
-  });
-  const std::size_t rides = kRidesADoubling * std::bit_width(m_entries.size());
-  m_pending.push_back({ aMember, rides + 1 });
+  m_updates.Add(m_self, m_entries.size());
 }
 
 void
@@ -291,26 +266,8 @@
 {
   ++m_probes;
   const bool far = m_probes % kProbesAFarOne == 0 || m_zonePeers.empty();
-  return far && !m_farPeers.empty() ? NextOf(m_farRound, m_farPeers)
-                                    : NextOf(m_nearRound, m_zonePeers);
-}
-
-base::Ipv4Address
-Roster::NextOf(std::vector<base::Ipv4Address>& aRound,
-               const std::vector<base::Ipv4Address>& aAll)
-{
-  while (!aRound.empty()) {
-    const base::Ipv4Address next = aRound.back();
-    aRound.pop_back();
-    if (std::ranges::binary_search(aAll, next)) {
-      return next;
-    }
-  }
-  aRound = aAll;
-  std::ranges::shuffle(aRound, m_random);
-  const base::Ipv4Address next = aRound.back();
-  aRound.pop_back();
-  return next;
+  return far && !m_farPeers.empty() ? m_farRound.Next(m_farPeers, m_random)
+                                    : m_nearRound.Next(m_zonePeers, m_random);
 }
 
 void
--- a/src/wasabiloom/fleet/Roster.h
+++ b/src/wasabiloom/fleet/Roster.h
@@ -4,6 +4,8 @@
 
 #include "wasabiloom/base/Time.h"
 #include "wasabiloom/fleet/Message.h"
+#include "wasabiloom/fleet/ProbeRound.h"
+#include "wasabiloom/fleet/UpdateQueue.h"
 
 #include <map>
 #include <optional>
@@ -38,8 +40,7 @@
 /// While no other member is known, seeds are called so often.
 constexpr base::Duration kJoinInterval = std::chrono::milliseconds(250);
 
-/// Statements that ride on one message, and members that one Roll carries.
-constexpr std::size_t kUpdatesAMessage = 16;
+/// Members that one Roll carries.
 constexpr std::size_t kMembersARoll = 30;
 
 /// An interval between two ticks above this means that this process stood
@@ -115,12 +116,6 @@
     base::Instant m_since;
   };
 
-  struct Pending
-  {
-    Member m_member;
-    std::size_t m_left = 0;
-  };
-
   struct OwnProbe
   {
     base::Ipv4Address m_target;
@@ -138,7 +133,6 @@
 
   void Learn(const Member& aMember, base::Instant aNow);
   void LearnOfSelf(const Member& aMember);
-  void Spread(const Member& aMember);
   void OnContent(const Message& aMessage, base::Instant aNow);
   void Answer(const Message& aMessage, std::uint32_t aSequence);
   /// Sends a message that tells its receiver what it is accused of, so that
@@ -156,8 +150,6 @@
   void Reindex();
   std::uint32_t SendProbe(base::Ipv4Address aTo, bool aWantsAll);
   base::Ipv4Address NextTarget();
-  base::Ipv4Address NextOf(std::vector<base::Ipv4Address>& aRound,
-                           const std::vector<base::Ipv4Address>& aAll);
   std::size_t Draw(std::size_t aCount);
 
   Member m_self;
@@ -169,10 +161,10 @@
   std::vector<base::Ipv4Address> m_zonePeers;
   std::size_t m_rank = 0;
   std::vector<base::Ipv4Address> m_farPeers;
-  std::vector<base::Ipv4Address> m_nearRound;
-  std::vector<base::Ipv4Address> m_farRound;
+  ProbeRound m_nearRound;
+  ProbeRound m_farRound;
   std::uint32_t m_probes = 0;
-  std::vector<Pending> m_pending;
+  UpdateQueue m_updates;
   std::optional<OwnProbe> m_probe;
   std::map<std::uint32_t, ForeignProbe> m_foreign;
   std::uint32_t m_sequence = 0;
--- /dev/null
+++ b/src/wasabiloom/fleet/UpdateQueue.cpp
@@ -0,0 +1,43 @@
+#include "wasabiloom/fleet/UpdateQueue.h"
+
+#include <algorithm>
+#include <bit>
+#include <functional>
+
+namespace wasabiloom::fleet {
+
+namespace {
+
+/// Times that a statement rides along, for each doubling of the fleet.
+constexpr std::size_t kRidesADoubling = 2;
+
+} // namespace
+
+void
+UpdateQueue::Add(const Member& aMember, std::size_t aMembers)
+{
+  std::erase_if(m_pending, [&](const Pending& aOne) {
+    return aOne.m_member.m_address == aMember.m_address;
+  });
+  const std::size_t rides = kRidesADoubling * std::bit_width(aMembers);
+  m_pending.push_back({ aMember, rides + 1 });
+}
+
+std::vector<Member>
+UpdateQueue::Take()
+{
+  const std::size_t count = std::min(m_pending.size(), kUpdatesAMessage);
+  const auto end = m_pending.begin() + static_cast<std::ptrdiff_t>(count);
+  std::ranges::partial_sort(m_pending, end, std::greater{}, &Pending::m_left);
+  std::vector<Member> taken;
+  taken.reserve(count);
+  std::for_each(m_pending.begin(), end, [&](Pending& aOne) {
+    taken.push_back(aOne.m_member);
+    --aOne.m_left;
+  });
+  std::erase_if(m_pending,
+                [](const Pending& aOne) { return aOne.m_left == 0; });
+  return taken;
+}
+
+} // namespace wasabiloom::fleet
--- a/src/wasabiloom/token/Decision.cpp
+++ b/src/wasabiloom/token/Decision.cpp
@@ -31,4 +31,18 @@
   return kReasonNames.at(static_cast<std::size_t>(aReason));
 }
 
+Reason
+ReasonOf(placing::PlaceReason aReason)
+{
+  switch (aReason) {
+    case placing::PlaceReason::LeastLoad:
+      return Reason::PlacedLeastLoad;
+    case placing::PlaceReason::OnlyCold:
+      return Reason::PlacedOnlyCold;
+    case placing::PlaceReason::OnlySuspect:
+      return Reason::PlacedOnlySuspect;
+  }
+  return Reason::PlacedLeastLoad;
+}
+
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/Decision.h
+++ b/src/wasabiloom/token/Decision.h
@@ -3,6 +3,7 @@
 
 #include "wasabiloom/base/Time.h"
 #include "wasabiloom/packet/TokenCodec.h"
+#include "wasabiloom/placing/Placer.h"
 
 #include <array>
 #include <cstdint>
@@ -52,6 +53,10 @@
 std::string_view
 ToString(Reason aReason);
 
+/// The reason of a new flow's placement. Thread safe.
+Reason
+ReasonOf(placing::PlaceReason aReason);
+
 /// One decision with what it rested on.
 struct Decision
 {
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -11,20 +11,6 @@
 
 constexpr base::Duration kSweepInterval = std::chrono::seconds(1);
 
-Reason
-ReasonOf(placing::PlaceReason aReason)
-{
-  switch (aReason) {
-    case placing::PlaceReason::LeastLoad:
-      return Reason::PlacedLeastLoad;
-    case placing::PlaceReason::OnlyCold:
-      return Reason::PlacedOnlyCold;
-    case placing::PlaceReason::OnlySuspect:
-      return Reason::PlacedOnlySuspect;
-  }
-  return Reason::PlacedLeastLoad;
-}
-
 } // namespace
 
 TokenHost::TokenHost(TokenHostIdentity aIdentity,
