Read once more: waits in one place, two copies made one, a long function split

Behaviour unchanged. The shares of the news bound stood in two files though patience must exceed wait and pace together (daemon::NewsTiming); the same handler stood twice in FleetLink, the same loop over names twice in Reader; RouteRequest had grown; Roster::Answer and an unused parameter went; FactPool has its own file.

--- a/src/wasabiloom/core/PacketRouter.cpp
+++ b/src/wasabiloom/core/PacketRouter.cpp
@@ -1,6 +1,5 @@
 #include "wasabiloom/core/PacketRouter.h"
 
-#include "wasabiloom/request/Handover.h"
 #include "wasabiloom/wire/EnvelopeCodec.h"
 
 namespace wasabiloom::core {
@@ -132,6 +131,25 @@
   m_effects.LogFlow(decision);
 }
 
+request::HomeSituation
+PacketRouter::SituationOf(base::HostId aHome,
+                          base::HostId aPrevious,
+                          base::HostId aRelayedFrom) const
+{
+  const base::HostId self = m_membership.Self();
+  const HostPhase phase = m_membership.Phase();
+  request::HomeSituation situation;
+  situation.m_isHome = aHome == self;
+  situation.m_wasHome =
+    aPrevious == self && aHome != self && phase == HostPhase::Ready;
+  situation.m_isLeaving = phase == HostPhase::Leaving;
+  situation.m_isRelayed = aRelayedFrom != kNoHost;
+  situation.m_hasPredecessor =
+    aPrevious != self && m_membership.IsLive(aPrevious);
+  situation.m_fromPredecessor = aRelayedFrom == aPrevious;
+  return situation;
+}
+
 PacketVerdict
 PacketRouter::RouteRequest(ServiceRuntime& aService,
                            const packet::PacketView& aView,
@@ -151,19 +169,11 @@
       const auto hash = RequestHash(aView.m_flow, envelope.m_id);
       const base::HostId home = m_membership.OwnerOf(hash, 0);
       const base::HostId previous = m_membership.PreviousOwnerOf(hash, aNow);
-      const base::HostId self = m_membership.Self();
-      request::HomeSituation situation;
+      request::HomeSituation situation =
+        SituationOf(home, previous, aRelayedFrom);
+      situation.m_isRepeatable = envelope.m_repeatable;
       situation.m_isKnown =
         aService.Requests().Knows(aView.m_flow, envelope.m_id);
-      situation.m_isRepeatable = envelope.m_repeatable;
-      situation.m_isHome = home == self;
-      situation.m_wasHome = previous == self && home != self &&
-                            m_membership.Phase() == HostPhase::Ready;
-      situation.m_isLeaving = m_membership.Phase() == HostPhase::Leaving;
-      situation.m_isRelayed = aRelayedFrom != kNoHost;
-      situation.m_hasPredecessor =
-        previous != self && m_membership.IsLive(previous);
-      situation.m_fromPredecessor = aRelayedFrom == previous;
       switch (request::DecideHome(situation)) {
         case request::HomeAction::RelayToHome:
           return RelayTo(home);
--- a/src/wasabiloom/core/PacketRouter.h
+++ b/src/wasabiloom/core/PacketRouter.h
@@ -5,6 +5,7 @@
 #include "wasabiloom/core/Effects.h"
 #include "wasabiloom/core/Inputs.h"
 #include "wasabiloom/core/ServiceCatalog.h"
+#include "wasabiloom/request/Handover.h"
 
 #include <cstddef>
 #include <span>
@@ -41,6 +42,10 @@
                              const packet::PacketView& aView,
                              base::HostId aRelayedFrom,
                              base::Instant aNow);
+  /// What the fleet says of a request's home; the request's own part is left.
+  request::HomeSituation SituationOf(base::HostId aHome,
+                                     base::HostId aPrevious,
+                                     base::HostId aRelayedFrom) const;
   PacketVerdict Refuse(base::ResultCode aCode);
   PacketVerdict RelayTo(base::HostId aHost);
   void LogPlacement(const ServiceRuntime& aService,
--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -2,27 +2,16 @@
 
 #include "wasabiloom/daemon/BufferedLog.h"
 #include "wasabiloom/daemon/Clock.h"
+#include "wasabiloom/daemon/NewsTiming.h"
 #include "wasabiloom/fleet/MessageCodec.h"
 
 namespace wasabiloom::daemon {
 
 namespace {
 
-/// Shares of the bound within which news must be in force, in hundredths.
-constexpr int kPatienceShare = 60;
-constexpr int kStaggerShare = 3;
-constexpr int kWhole = 100;
-
 /// Refused messages are reported no more often.
 constexpr base::Duration kReportInterval = std::chrono::seconds(1);
 
-fleet::RelayTiming
-TimingOf(const settings::TokenHostSettings& aSettings)
-{
-  return { aSettings.m_newsWithin * kPatienceShare / kWhole,
-           aSettings.m_newsWithin * kStaggerShare / kWhole };
-}
-
 /// The hosts to call first; the host itself is left out.
 std::vector<base::Ipv4Address>
 FirstPeers(const settings::TokenHostSettings& aSettings)
@@ -47,15 +36,9 @@
   , m_roster({ aSettings.m_address, aSettings.m_zone, NewIncarnation() },
              NewIncarnation(),
              *this)
-  , m_relay(TimingOf(aSettings), m_roster, aFacts, *this)
-  , m_first([this](const registry::News& aNews) {
-    m_facts.OnNews(aNews, Now());
-    m_onLearned();
-  })
-  , m_teller([this](const registry::News& aNews) {
-    m_facts.OnNews(aNews, Now());
-    m_onLearned();
-  })
+  , m_relay(RelayTimingOf(aSettings), m_roster, aFacts, *this)
+  , m_first([this](const registry::News& aNews) { OnPulled(aNews); })
+  , m_teller([this](const registry::News& aNews) { OnPulled(aNews); })
 {
   SetFirstPeers();
 }
@@ -111,10 +94,17 @@
 }
 
 void
-FleetLink::Leave(base::Instant aNow)
+FleetLink::Leave()
 {
   m_relay.Leave();
-  m_roster.Leave(aNow);
+  m_roster.Leave();
+}
+
+void
+FleetLink::OnPulled(const registry::News& aNews)
+{
+  m_facts.OnNews(aNews, Now());
+  m_onLearned();
 }
 
 void
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -45,7 +45,7 @@
   void Tick(base::Instant aNow);
 
   /// Says farewell.
-  void Leave(base::Instant aNow);
+  void Leave();
 
   const fleet::Roster& GetRoster() const { return m_roster; }
 
@@ -57,6 +57,7 @@
   void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) override;
 
   void OnReadable();
+  void OnPulled(const registry::News& aNews);
   void OnMessage(const fleet::Message& aMessage, base::Instant aNow);
   void ReportRefused(const base::Endpoint& aFrom,
                      const base::Problem& aProblem,
--- /dev/null
+++ b/src/wasabiloom/daemon/NewsTiming.cpp
@@ -0,0 +1,40 @@
+#include "wasabiloom/daemon/NewsTiming.h"
+
+#include <algorithm>
+
+namespace wasabiloom::daemon {
+
+namespace {
+
+/// Shares of the bound, in hundredths. News comes at the latest after a wait
+/// and a pace, so patience must be longer than both together.
+constexpr int kWaitShare = 27;
+constexpr int kPaceShare = 20;
+constexpr int kPatienceShare = 60;
+constexpr int kStaggerShare = 3;
+constexpr int kWhole = 100;
+
+/// Share of the time to be in touch again that a wait may use up.
+constexpr int kTouchUsed = 7;
+constexpr int kTouchParts = 8;
+
+} // namespace
+
+registry::ReaderTiming
+ReaderTimingOf(const settings::TokenHostSettings& aSettings)
+{
+  registry::ReaderTiming timing;
+  timing.m_watchWait = std::min(aSettings.m_newsWithin * kWaitShare / kWhole,
+                                aSettings.m_inTouch * kTouchUsed / kTouchParts);
+  timing.m_pace = aSettings.m_newsWithin * kPaceShare / kWhole;
+  return timing;
+}
+
+fleet::RelayTiming
+RelayTimingOf(const settings::TokenHostSettings& aSettings)
+{
+  return { aSettings.m_newsWithin * kPatienceShare / kWhole,
+           aSettings.m_newsWithin * kStaggerShare / kWhole };
+}
+
+} // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -2,9 +2,9 @@
 
 #include "wasabiloom/daemon/BufferedLog.h"
 #include "wasabiloom/daemon/Clock.h"
+#include "wasabiloom/daemon/NewsTiming.h"
 #include "wasabiloom/registry/FactsCodec.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace wasabiloom::daemon {
@@ -37,21 +37,6 @@
 constexpr int kBoundParts = 8;
 constexpr int kBoundUsed = 7;
 
-/// Shares of the bound within which news must be in force, in hundredths.
-constexpr int kWaitShare = 27;
-constexpr int kPaceShare = 20;
-constexpr int kWhole = 100;
-
-registry::ReaderTiming
-TimingOf(const settings::TokenHostSettings& aSettings)
-{
-  registry::ReaderTiming timing;
-  timing.m_watchWait = std::min(aSettings.m_newsWithin * kWaitShare / kWhole,
-                                aSettings.m_inTouch * kBoundUsed / kBoundParts);
-  timing.m_pace = aSettings.m_newsWithin * kPaceShare / kWhole;
-  return timing;
-}
-
 token::TokenHostIdentity
 IdentityOf(const settings::TokenHostSettings& aSettings)
 {
@@ -76,7 +61,7 @@
   , m_adapter(aAdapter)
   , m_log(aLog)
   , m_host(IdentityOf(aSettings),
-           TimingOf(aSettings),
+           ReaderTimingOf(aSettings),
            NewIncarnation(),
            aAdapter.m_codec,
            *this)
@@ -138,7 +123,7 @@
 {
   m_onStopped = std::move(aOnStopped);
   m_leaveSince = Now();
-  m_fleet.Leave(m_leaveSince);
+  m_fleet.Leave();
   LogLine(LogLevel::Info,
           "host",
           "event=stopping flows=" + std::to_string(m_host.FlowCount()));
--- /dev/null
+++ b/src/wasabiloom/fleet/FactPool.cpp
@@ -0,0 +1,7 @@
+#include "wasabiloom/fleet/FactPool.h"
+
+namespace wasabiloom::fleet {
+
+FactPool::~FactPool() = default;
+
+} // namespace wasabiloom::fleet
--- a/src/wasabiloom/fleet/FactRelay.cpp
+++ b/src/wasabiloom/fleet/FactRelay.cpp
@@ -6,7 +6,6 @@
 
 namespace wasabiloom::fleet {
 
-FactPool::~FactPool() = default;
 RelayOutbox::~RelayOutbox() = default;
 
 FactRelay::FactRelay(const RelayTiming& aTiming,
--- a/src/wasabiloom/fleet/Roster.cpp
+++ b/src/wasabiloom/fleet/Roster.cpp
@@ -103,7 +103,7 @@
 Roster::OnContent(const Message& aMessage, base::Instant aNow)
 {
   if (const auto* probe = std::get_if<Probe>(&aMessage.m_content)) {
-    Answer(aMessage, probe->m_sequence);
+    SendAccusing(aMessage.m_sender.m_address, ProbeAnswer{ probe->m_sequence });
     if (probe->m_wantsAll) {
       TellAll(aMessage.m_sender.m_address);
     }
@@ -115,12 +115,6 @@
   }
 }
 
-void
-Roster::Answer(const Message& aMessage, std::uint32_t aSequence)
-{
-  SendAccusing(aMessage.m_sender.m_address, ProbeAnswer{ aSequence });
-}
-
 void
 Roster::SendAccusing(base::Ipv4Address aTo, Content aContent)
 {
@@ -362,7 +356,7 @@
 }
 
 void
-Roster::Leave(base::Instant /*aNow*/)
+Roster::Leave()
 {
   m_leaving = true;
   m_self.m_standing = Standing::Gone;
--- a/src/wasabiloom/fleet/Roster.h
+++ b/src/wasabiloom/fleet/Roster.h
@@ -86,7 +86,7 @@
   void Tick(base::Instant aNow);
 
   /// Says farewell to some members, who tell the others.
-  void Leave(base::Instant aNow);
+  void Leave();
 
   /// A message of this host with the statements that ride on it.
   Message Compose(Content aContent);
@@ -134,7 +134,6 @@
   void Learn(const Member& aMember, base::Instant aNow);
   void LearnOfSelf(const Member& aMember);
   void OnContent(const Message& aMessage, base::Instant aNow);
-  void Answer(const Message& aMessage, std::uint32_t aSequence);
   /// Sends a message that tells its receiver what it is accused of, so that
   /// it can refute.
   void SendAccusing(base::Ipv4Address aTo, Content aContent);
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -8,6 +8,16 @@
 
 constexpr std::uint32_t kMaxDoublings = 8;
 
+using Names = std::set<std::pair<FactKind, std::string>>;
+
+void
+AddNames(Names& aNames, const std::vector<Fact>& aFacts)
+{
+  for (const Fact& fact : aFacts) {
+    aNames.emplace(fact.m_kind, fact.m_name);
+  }
+}
+
 } // namespace
 
 ReaderEvents::~ReaderEvents() = default;
@@ -61,9 +71,7 @@
     m_listRevision = aPage.m_revision;
     m_found.clear();
   }
-  for (const Fact& fact : aPage.m_facts) {
-    m_found.emplace(fact.m_kind, fact.m_name);
-  }
+  AddNames(m_found, aPage.m_facts);
   Take(aPage.m_facts, aNow);
   m_after = aPage.m_next;
   if (!m_after.empty()) {
@@ -120,10 +128,8 @@
   if (aNews.m_to > m_revision) {
     Take(aNews.m_facts, aNow);
     if (aNews.m_from == 0) {
-      std::set<std::pair<FactKind, std::string>> found;
-      for (const Fact& fact : aNews.m_facts) {
-        found.emplace(fact.m_kind, fact.m_name);
-      }
+      Names found;
+      AddNames(found, aNews.m_facts);
       m_beliefs.EndListing(aNews.m_to, found, aNow);
     }
     m_revision = aNews.m_to;
