--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -9,9 +9,15 @@
 
 namespace {
 
-/// Refused messages are reported no more often.
+/// Refused messages, and members that come and go, are reported no more often.
 constexpr base::Duration kReportInterval = std::chrono::seconds(1);
 
+/// So long after a host became ready, a start of the whole fleet is over.
+constexpr base::Duration kSettled = std::chrono::seconds(3);
+
+/// Members that one line names.
+constexpr std::size_t kNamed = 6;
+
 /// The hosts to call first; the host itself is left out.
 std::vector<base::Ipv4Address>
 FirstPeers(const settings::TokenHostSettings& aSettings)
@@ -33,12 +39,18 @@
   : m_settings(aSettings)
   , m_facts(aFacts)
   , m_onLearned(std::move(aOnLearned))
-  , m_roster({ aSettings.m_address, aSettings.m_zone, NewIncarnation() },
+  , m_roster({ aSettings.m_address,
+               aSettings.m_zone,
+               NewIncarnation(),
+               fleet::Standing::Alive,
+               CapacityOf(aSettings) },
              NewIncarnation(),
              *this)
-  , m_relay(RelayTimingOf(aSettings), m_roster, aFacts, *this)
-  , m_first([this](const registry::News& aNews) { OnPulled(aNews); })
-  , m_teller([this](const registry::News& aNews) { OnPulled(aNews); })
+  , m_relay(RelayTimingOf(aSettings), NewIncarnation(), m_roster, aFacts, *this)
+  , m_board(*this)
+  , m_search(NewIncarnation(), m_roster, aFacts, *this)
+  , m_teller([this](const registry::News& aNews) { OnPulled(aNews); },
+             [this] { m_search.OnPullFailed(Now()); })
 {
   SetFirstPeers();
 }
@@ -50,12 +62,7 @@
 {
   const auto peers = FirstPeers(m_settings);
   m_roster.SetSeeds(peers);
-  std::vector<base::Endpoint> endpoints;
-  endpoints.reserve(peers.size());
-  for (const base::Ipv4Address peer : peers) {
-    endpoints.push_back({ peer, m_settings.m_peerPort });
-  }
-  m_first.SetPeers(endpoints);
+  m_search.SetFirst(peers);
 }
 
 base::Result<void>
@@ -68,8 +75,8 @@
   connect(m_notifier.get(), &QSocketNotifier::activated, this, [this] {
     OnReadable();
   });
-  AskForFacts(aNow);
-  Tick(aNow);
+  m_search.Begin(aNow);
+  m_relay.Tick(aNow);
   return {};
 }
 
@@ -81,16 +88,36 @@
 }
 
 void
-FleetLink::AskForFacts(base::Instant aNow)
+FleetLink::Tick(bool aIsCutOff, base::Instant aNow)
 {
-  m_first.Ask(m_facts.Revision(), aNow);
+  m_roster.Tick(aNow);
+  m_relay.Tick(aNow);
+  m_search.Tick(aIsCutOff, aNow);
+  if (m_facts.IsReady()) {
+    NameTellers(aNow);
+  }
+  m_board.Tick(aNow);
+  ReportMembers(aNow);
 }
 
 void
-FleetLink::Tick(base::Instant aNow)
+FleetLink::NameTellers(base::Instant aNow)
 {
-  m_roster.Tick(aNow);
-  m_relay.Tick(aNow);
+  if (m_readySince == base::Instant{}) {
+    m_readySince = aNow;
+  }
+  m_board.OnKnown(m_roster.Self(), aNow);
+  if (m_board.Waiting() == 0 || aNow - m_readySince < kSettled) {
+    return;
+  }
+  // Long after a start, capable members can be taken to know the facts.
+  for (const auto& [zone, members] : m_roster.LiveByZone()) {
+    for (const fleet::Member* member : members) {
+      if (member->m_capacity >= fleet::kListingCapacity) {
+        m_board.OnKnown(*member, aNow);
+      }
+    }
+  }
 }
 
 void
@@ -103,7 +130,10 @@
 void
 FleetLink::OnPulled(const registry::News& aNews)
 {
-  m_facts.OnNews(aNews, Now());
+  const base::Instant now = Now();
+  m_facts.OnNews(aNews, now);
+  m_relay.OnPulled(now);
+  m_search.Tick(false, now);
   m_onLearned();
 }
 
@@ -148,60 +178,90 @@
 void
 FleetLink::OnMessage(const fleet::Message& aMessage, base::Instant aNow)
 {
+  const base::Ipv4Address from = aMessage.m_sender.m_address;
   m_roster.OnMessage(aMessage, aNow);
-  if (const auto* news = std::get_if<registry::News>(&aMessage.m_content)) {
-    m_relay.OnNews(aMessage.m_sender.m_address, *news, aNow);
+  if (const auto* news = std::get_if<fleet::RelayedNews>(&aMessage.m_content)) {
+    m_relay.OnNews(from, *news, aNow);
     m_onLearned();
+  } else if (const auto* tellers =
+               std::get_if<fleet::Tellers>(&aMessage.m_content)) {
+    m_search.OnTellers(*tellers, aNow);
+  } else if (std::holds_alternative<fleet::FactsWanted>(aMessage.m_content)) {
+    m_board.OnWanted(aMessage.m_sender, aNow);
+  } else if (std::holds_alternative<fleet::FactsKnown>(aMessage.m_content)) {
+    m_board.OnKnown(aMessage.m_sender, aNow);
   }
 }
 
 void
 FleetLink::SendTo(base::Ipv4Address aTo, const fleet::Message& aMessage)
 {
-  SendBytes(aTo, fleet::EncodeMessage(aMessage));
+  if (m_socket) {
+    m_socket->Send(fleet::EncodeMessage(aMessage),
+                   { aTo, m_settings.m_peerPort });
+  }
 }
 
 void
-FleetLink::SendNews(const std::vector<base::Ipv4Address>& aTo,
-                    const registry::News& aNews)
+FleetLink::SendContent(base::Ipv4Address aTo, const fleet::Content& aContent)
 {
-  const std::string bytes = fleet::EncodeMessage(m_roster.Compose(aNews));
-  for (const base::Ipv4Address peer : aTo) {
-    SendBytes(peer, bytes);
-  }
+  SendTo(aTo, m_roster.Compose(aContent));
 }
 
 void
-FleetLink::SendBytes(base::Ipv4Address aTo, const std::string& aBytes)
+FleetLink::SendNews(const std::vector<fleet::NewsCopy>& aCopies)
 {
-  if (m_socket) {
-    m_socket->Send(aBytes, { aTo, m_settings.m_peerPort });
+  fleet::Message message = m_roster.Compose(fleet::Roll{});
+  for (const fleet::NewsCopy& copy : aCopies) {
+    message.m_content = copy.m_news;
+    SendTo(copy.m_to, message);
   }
 }
 
+void
+FleetLink::SendTellers(base::Ipv4Address aTo, const fleet::Tellers& aTellers)
+{
+  SendContent(aTo, aTellers);
+}
+
 void
 FleetLink::Pull(base::Ipv4Address aFrom, std::uint64_t aRevision)
 {
-  if (m_tellerAddress != aFrom) {
-    m_tellerAddress = aFrom;
-    m_teller.SetPeers({ { aFrom, m_settings.m_peerPort } });
-  }
-  m_teller.Ask(aRevision, Now());
+  m_teller.Ask({ aFrom, m_settings.m_peerPort }, aRevision);
+}
+
+void
+FleetLink::PullFirst(base::Ipv4Address aFrom, std::uint64_t aRevision)
+{
+  Pull(aFrom, aRevision);
 }
 
 void
 FleetLink::OnStanding(const fleet::Member& aMember)
 {
-  // What is far away changes none of this host's duties.
-  const bool isNear = aMember.m_zone == m_settings.m_zone;
-  LogLine(isNear ? LogLevel::Info : LogLevel::Debug,
-          "fleet",
-          "event=member address=" + ToString(aMember.m_address) +
-            " zone=" + aMember.m_zone +
-            " standing=" + std::string(ToString(aMember.m_standing)) +
-            " incarnation=" + std::to_string(aMember.m_incarnation) +
-            " rank=" + std::to_string(m_roster.RankInZone()) +
-            " live=" + std::to_string(m_roster.LiveCount()));
+  m_changedMembers[aMember.m_standing].push_back(aMember.m_address);
+}
+
+void
+FleetLink::ReportMembers(base::Instant aNow)
+{
+  if (aNow - m_membersReportedAt < kReportInterval) {
+    return;
+  }
+  m_membersReportedAt = aNow;
+  for (const auto& [standing, addresses] : m_changedMembers) {
+    std::string line =
+      "event=members standing=" + std::string(ToString(standing)) +
+      " count=" + std::to_string(addresses.size()) +
+      " rank=" + std::to_string(m_roster.RankInZone()) +
+      " live=" + std::to_string(m_roster.LiveCount()) + " addresses=";
+    for (std::size_t i = 0; i < std::min(addresses.size(), kNamed); ++i) {
+      line += i == 0 ? "" : ",";
+      line += ToString(addresses[i]);
+    }
+    LogLine(LogLevel::Info, "fleet", line);
+  }
+  m_changedMembers.clear();
 }
 
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -4,13 +4,17 @@
 #include "wasabiloom/daemon/PeerFacts.h"
 #include "wasabiloom/daemon/UdpSocket.h"
 #include "wasabiloom/fleet/FactRelay.h"
+#include "wasabiloom/fleet/FactSearch.h"
+#include "wasabiloom/fleet/TellerBoard.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
 
 #include <QObject>
 #include <QSocketNotifier>
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <vector>
 
 namespace wasabiloom::daemon {
 
@@ -20,6 +24,8 @@
   : public QObject
   , private fleet::RosterOutbox
   , private fleet::RelayOutbox
+  , private fleet::SearchOutbox
+  , private fleet::TellerOutbox
 {
 public:
   /// `aFacts` must outlive the link. `aOnLearned` is called after news came.
@@ -28,21 +34,19 @@
             std::function<void()> aOnLearned);
   ~FleetLink() override;
 
-  /// Binds the socket and asks the first hosts for facts. Errors:
-  /// SocketFailed.
+  /// Binds the socket and begins the search for facts. Errors: SocketFailed.
   base::Result<void> Start(base::Instant aNow);
 
   /// Adopts changed hosts to call first.
   void Reload(const settings::TokenHostSettings& aSettings);
 
-  /// Tells the zone what the registry has just answered.
+  /// Tells the fleet what the registry has just answered.
   void TellNews(base::Instant aNow) { m_relay.Tick(aNow); }
 
-  /// Asks the first hosts for facts; for a host that can't learn otherwise.
-  void AskForFacts(base::Instant aNow);
-
-  /// To be called a few times in each probe interval.
-  void Tick(base::Instant aNow);
+  /// To be called a few times in each probe interval, and more often while
+  /// the host is not ready. `aIsCutOff`: the registry has failed this host
+  /// for some time.
+  void Tick(bool aIsCutOff, base::Instant aNow);
 
   /// Says farewell.
   void Leave();
@@ -52,13 +56,19 @@
 private:
   void SendTo(base::Ipv4Address aTo, const fleet::Message& aMessage) override;
   void OnStanding(const fleet::Member& aMember) override;
-  void SendNews(const std::vector<base::Ipv4Address>& aTo,
-                const registry::News& aNews) override;
+  void SendNews(const std::vector<fleet::NewsCopy>& aCopies) override;
   void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) override;
+  void SendContent(base::Ipv4Address aTo,
+                   const fleet::Content& aContent) override;
+  void PullFirst(base::Ipv4Address aFrom, std::uint64_t aRevision) override;
+  void SendTellers(base::Ipv4Address aTo,
+                   const fleet::Tellers& aTellers) override;
 
   void OnReadable();
   void OnPulled(const registry::News& aNews);
   void OnMessage(const fleet::Message& aMessage, base::Instant aNow);
+  void NameTellers(base::Instant aNow);
+  void ReportMembers(base::Instant aNow);
   void ReportRefused(const base::Endpoint& aFrom,
                      const base::Problem& aProblem,
                      base::Instant aNow);
@@ -70,10 +80,13 @@
   std::function<void()> m_onLearned;
   fleet::Roster m_roster;
   fleet::FactRelay m_relay;
-  /// The hosts of the settings, and the one that has news.
-  PeerFacts m_first;
+  fleet::TellerBoard m_board;
+  fleet::FactSearch m_search;
   PeerFacts m_teller;
-  base::Ipv4Address m_tellerAddress;
+  base::Instant m_readySince;
+  /// Members whose standing changed since the last line on them.
+  std::map<fleet::Standing, std::vector<base::Ipv4Address>> m_changedMembers;
+  base::Instant m_membersReportedAt;
   std::uint64_t m_refused = 0;
   base::Instant m_refusedReportedAt;
   std::unique_ptr<UdpSocket> m_socket;
--- a/src/wasabiloom/daemon/NewsTiming.cpp
+++ b/src/wasabiloom/daemon/NewsTiming.cpp
@@ -37,4 +37,11 @@
            aSettings.m_newsWithin * kStaggerShare / kWhole };
 }
 
+std::uint32_t
+CapacityOf(const settings::TokenHostSettings& aSettings)
+{
+  const double capacity = aSettings.m_linkMbps * aSettings.m_cores;
+  return std::max(1U, static_cast<std::uint32_t>(capacity));
+}
+
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/NewsTiming.h
+++ b/src/wasabiloom/daemon/NewsTiming.h
@@ -15,4 +15,8 @@
 fleet::RelayTiming
 RelayTimingOf(const settings::TokenHostSettings& aSettings);
 
+/// How much a host can pass on; see fleet::Member. Thread safe.
+std::uint32_t
+CapacityOf(const settings::TokenHostSettings& aSettings);
+
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/PeerFacts.cpp
+++ b/src/wasabiloom/daemon/PeerFacts.cpp
@@ -11,48 +11,52 @@
 
 } // namespace
 
-PeerFacts::PeerFacts(OnFacts aOnFacts)
+PeerFacts::PeerFacts(OnFacts aOnFacts, OnFailed aOnFailed)
   : m_onFacts(std::move(aOnFacts))
+  , m_onFailed(std::move(aOnFailed))
 {
 }
 
 PeerFacts::~PeerFacts() = default;
 
 void
-PeerFacts::SetPeers(const std::vector<base::Endpoint>& aPeers)
+PeerFacts::Ask(const base::Endpoint& aPeer, std::uint64_t aRevision)
 {
-  m_clients.clear();
-  for (const base::Endpoint& peer : aPeers) {
-    m_clients.push_back(std::make_unique<HttpClient>(peer));
+  const bool isAsked = m_client != nullptr && m_peer == aPeer;
+  if (isAsked) {
+    return;
   }
+  DropClient();
+  m_peer = aPeer;
+  m_client = std::make_unique<HttpClient>(aPeer);
+  const std::string target =
+    std::string(kFactsPath) + "?after=" + std::to_string(aRevision);
+  m_client->Get(target,
+                kPeerTimeout,
+                [this, asked = m_client.get()](const HttpAnswer& aAnswer) {
+                  // A call that was given up may still end.
+                  if (asked == m_client.get()) {
+                    OnAnswer(aAnswer);
+                  }
+                });
 }
 
 void
-PeerFacts::Ask(std::uint64_t aRevision, base::Instant aNow)
+PeerFacts::DropClient()
 {
-  const bool isFirst = m_askedAt == base::Instant{};
-  if (!isFirst && aRevision == m_askedAfter &&
-      aNow - m_askedAt < kAskInterval) {
-    return;
-  }
-  m_askedAt = aNow;
-  m_askedAfter = aRevision;
-  const std::string target =
-    std::string(kFactsPath) + "?after=" + std::to_string(aRevision);
-  for (const auto& client : m_clients) {
-    if (!client->IsBusy()) {
-      client->Get(target, kPeerTimeout, [this](const HttpAnswer& aAnswer) {
-        OnAnswer(aAnswer);
-      });
-    }
+  if (m_client != nullptr) {
+    // The client may be the one whose answer is being handled.
+    m_client.release()->deleteLater();
   }
 }
 
 void
 PeerFacts::OnAnswer(const HttpAnswer& aAnswer)
 {
+  DropClient();
   if (aAnswer.m_status != kOk) {
     // A peer that is away, or knows nothing newer, is no news.
+    m_onFailed();
     return;
   }
   base::Handle(
@@ -61,10 +65,11 @@
       m_onFacts(news);
       return {};
     },
-    [](const base::Problem& aProblem) {
+    [this](const base::Problem& aProblem) {
       LogLine(LogLevel::Warn,
               "host",
               "event=peer_facts_refused detail=\"" + Describe(aProblem) + "\"");
+      m_onFailed();
     });
 }
 
--- a/src/wasabiloom/daemon/PeerFacts.h
+++ b/src/wasabiloom/daemon/PeerFacts.h
@@ -1,4 +1,4 @@
-/// Asks other hosts for the facts that they know.
+/// Asks another host for the facts that it knows.
 #pragma once
 
 #include "wasabiloom/base/Endpoint.h"
@@ -9,43 +9,38 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace wasabiloom::daemon {
 
 /// Path under which a host tells its facts; `?after=REVISION` may follow.
 constexpr const char* kFactsPath = "/facts";
 
-/// Pause between two askings of the same peers for the same.
-constexpr base::Duration kAskInterval = std::chrono::milliseconds(800);
-
 /// How long a peer may take to answer.
-constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(700);
+constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(400);
 
-/// Asks all peers at once, each over its own connection. Lives on the thread
-/// that made it.
+/// Asks one peer at a time. Lives on the thread that made it.
 class PeerFacts
 {
 public:
   using OnFacts = std::function<void(const registry::News&)>;
+  using OnFailed = std::function<void()>;
 
-  explicit PeerFacts(OnFacts aOnFacts);
+  /// `aOnFailed` is called when the peer answered nothing usable.
+  PeerFacts(OnFacts aOnFacts, OnFailed aOnFailed);
   ~PeerFacts();
 
-  /// Replaces the peers to ask.
-  void SetPeers(const std::vector<base::Endpoint>& aPeers);
-
-  /// Asks for facts newer than `aRevision`, unless it asked for the same a
-  /// moment ago.
-  void Ask(std::uint64_t aRevision, base::Instant aNow);
+  /// Asks `aPeer` for facts newer than `aRevision`, unless it is being asked
+  /// already; a call to another peer is given up for this one.
+  void Ask(const base::Endpoint& aPeer, std::uint64_t aRevision);
 
 private:
   void OnAnswer(const HttpAnswer& aAnswer);
+  void DropClient();
 
   OnFacts m_onFacts;
-  std::vector<std::unique_ptr<HttpClient>> m_clients;
-  base::Instant m_askedAt;
-  std::uint64_t m_askedAfter = 0;
+  OnFailed m_onFailed;
+  base::Endpoint m_peer;
+  std::unique_ptr<HttpClient> m_client;
 };
 
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -3,9 +3,6 @@
 #include "wasabiloom/daemon/BufferedLog.h"
 #include "wasabiloom/daemon/Clock.h"
 #include "wasabiloom/daemon/NewsTiming.h"
-#include "wasabiloom/registry/FactsCodec.h"
-
-#include <charconv>
 
 namespace wasabiloom::daemon {
 
@@ -15,6 +12,9 @@
 
 constexpr std::chrono::milliseconds kTick{ 50 };
 
+/// While the host is not ready, every moment costs callers.
+constexpr std::chrono::milliseconds kTickUnready{ 10 };
+
 /// A stopping host stays at least so long, so that the fabric can notice.
 constexpr base::Duration kLeaveAtLeast = std::chrono::milliseconds(1500);
 
@@ -27,9 +27,8 @@
 constexpr base::Duration kReportInterval = std::chrono::seconds(1);
 
 /// A host that the registry has not answered for so long asks its peers.
-constexpr base::Duration kAskPeersAfter = std::chrono::milliseconds(600);
+constexpr base::Duration kCutOffAfter = std::chrono::milliseconds(600);
 
-constexpr int kNoNews = 204;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
@@ -65,13 +64,14 @@
            NewIncarnation(),
            aAdapter.m_codec,
            *this)
+  , m_teller(m_host)
   , m_fleet(m_settings, m_host, [this] { NoteReady(); })
   , m_server(
       [this](const std::string& aPath, const HttpServer::Responder& aReply) {
         aReply(Answer(aPath));
       })
 {
-  m_timer.setInterval(kTick);
+  m_timer.setInterval(kTickUnready);
   connect(&m_timer, &QTimer::timeout, this, [this] { OnTick(); });
 }
 
@@ -81,8 +81,8 @@
 TokenHostTask::Start()
 {
   m_startedAt = Now();
-  MakeCall(m_startedAt);
   BOOST_LEAF_CHECK(m_fleet.Start(m_startedAt));
+  MakeCall(m_startedAt);
   BOOST_LEAF_ASSIGN(m_socket, UdpSocket::Bind(m_settings.m_packets));
   m_notifier = std::make_unique<QSocketNotifier>(m_socket->Descriptor(),
                                                  QSocketNotifier::Read);
@@ -162,9 +162,8 @@
 {
   const base::Instant now = Now();
   m_host.OnTick(now);
-  m_fleet.Tick(now);
+  m_fleet.Tick(m_host.IsCutOff(kCutOffAfter, now), now);
   MakeCall(now);
-  AskPeers(now);
   ReportMalformed(now);
   if (m_onStopped) {
     ContinueLeave(now);
@@ -209,14 +208,6 @@
   }
 }
 
-void
-TokenHostTask::AskPeers(base::Instant aNow)
-{
-  if (!m_host.IsReady() || m_host.IsCutOff(kAskPeersAfter, aNow)) {
-    m_fleet.AskForFacts(aNow);
-  }
-}
-
 void
 TokenHostTask::NoteReady()
 {
@@ -224,6 +215,7 @@
     return;
   }
   m_wasReady = true;
+  m_timer.setInterval(kTick);
   LogLine(LogLevel::Info,
           "host",
           "event=ready after_ms=" +
@@ -241,28 +233,11 @@
     return { 200, "text/plain; version=0.0.4", m_metrics.Write(m_host) };
   }
   if (aPath.starts_with(kFactsPath)) {
-    return TellFacts(aPath);
+    return m_teller.Answer(aPath, Now());
   }
   return { kNotFound, "text/plain", "" };
 }
 
-HttpReply
-TokenHostTask::TellFacts(const std::string& aPath) const
-{
-  constexpr std::string_view kAfter = "?after=";
-  std::uint64_t after = 0;
-  const std::size_t at = aPath.find(kAfter);
-  if (at != std::string::npos) {
-    const char* first = aPath.data() + at + kAfter.size();
-    std::from_chars(first, aPath.data() + aPath.size(), after);
-  }
-  const auto news = m_host.NewsSince(after, Now());
-  if (!news || news->m_to <= after) {
-    return { kNoNews, "text/plain", "" };
-  }
-  return { 200, "application/cbor", registry::EncodeNews(*news) };
-}
-
 void
 TokenHostTask::Send(const base::Endpoint& aTo,
                     std::span<const std::byte> aBytes)
@@ -302,6 +277,19 @@
     LogLevel::Info, "belief", "event=" + std::string(aWhat) + " " + aDetail);
 }
 
+void
+TokenHostTask::LogDetail(std::string_view aWhat, const std::string& aDetail)
+{
+  LogLine(
+    LogLevel::Debug, "belief", "event=" + std::string(aWhat) + " " + aDetail);
+}
+
+bool
+TokenHostTask::LogsDetails() const
+{
+  return IsLogged(LogLevel::Debug);
+}
+
 void
 TokenHostTask::ReportMalformed(base::Instant aNow)
 {
--- a/src/wasabiloom/daemon/TokenHostTask.h
+++ b/src/wasabiloom/daemon/TokenHostTask.h
@@ -1,6 +1,7 @@
 /// Task that owns an entry host under the token policy and all its sockets.
 #pragma once
 
+#include "wasabiloom/daemon/FactsTeller.h"
 #include "wasabiloom/daemon/FleetLink.h"
 #include "wasabiloom/daemon/HttpServer.h"
 #include "wasabiloom/daemon/LineBuffer.h"
@@ -58,20 +59,22 @@
   void LogDecision(const token::Decision& aDecision) override;
   void LogBelief(std::string_view aWhat, const std::string& aDetail) override;
 
+  void LogDetail(std::string_view aWhat, const std::string& aDetail) override;
+  bool LogsDetails() const override;
+
   void OnReadable();
   void OnTick();
   void MakeCall(base::Instant aNow);
   void NoteReady();
   void ContinueLeave(base::Instant aNow);
-  void AskPeers(base::Instant aNow);
   HttpReply Answer(const std::string& aPath);
-  HttpReply TellFacts(const std::string& aPath) const;
   void ReportMalformed(base::Instant aNow);
 
   settings::TokenHostSettings m_settings;
   TokenHostAdapter m_adapter;
   LineBuffer& m_log;
   token::TokenHost m_host;
+  FactsTeller m_teller;
   TokenMetrics m_metrics;
   FleetLink m_fleet;
   HttpServer m_server;
--- a/src/wasabiloom/fleet/FactPool.h
+++ b/src/wasabiloom/fleet/FactPool.h
@@ -26,12 +26,22 @@
   /// When the registry last answered this host itself.
   virtual base::Instant AnsweredAt() const = 0;
 
+  /// When the host last learned how things stand, from the registry or a peer.
+  virtual base::Instant LearnedAt() const = 0;
+
+  /// Whether the host can tell all facts.
+  virtual bool IsReady() const = 0;
+
   /// Revision up to which all changes are known.
   virtual std::uint64_t Revision() const = 0;
 
   /// The host is to call the registry only when its news is older; see
   /// registry::Reader.
   virtual void SetPatience(base::Duration aPatience) = 0;
+
+  /// The host is not to list the registry before `aUntil`, as others may tell
+  /// it the facts sooner.
+  virtual void HoldListing(base::Instant aUntil) = 0;
 };
 
 } // namespace wasabiloom::fleet
--- a/src/wasabiloom/fleet/FactRelay.cpp
+++ b/src/wasabiloom/fleet/FactRelay.cpp
@@ -3,16 +3,34 @@
 #include "wasabiloom/registry/FactsCodec.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wasabiloom::fleet {
 
+namespace {
+
+/// `aNews` with its facts, or without them where they must be pulled.
+registry::News
+Shortened(registry::News aNews)
+{
+  if (registry::EncodeNews(aNews).size() > kMaxNewsBytes) {
+    aNews.m_facts.clear();
+    aNews.m_from = aNews.m_to;
+  }
+  return aNews;
+}
+
+} // namespace
+
 RelayOutbox::~RelayOutbox() = default;
 
 FactRelay::FactRelay(const RelayTiming& aTiming,
+                     std::uint64_t aSeed,
                      const Roster& aRoster,
                      FactPool& aFacts,
                      RelayOutbox& aOutbox)
   : m_timing(aTiming)
+  , m_random(aSeed)
   , m_roster(aRoster)
   , m_facts(aFacts)
   , m_outbox(aOutbox)
@@ -22,7 +40,7 @@
 bool
 FactRelay::IsReader() const
 {
-  return !m_leaving && m_roster.RankInZone() < kReadersAZone;
+  return !m_leaving && m_roster.RankInFleet() < kReaders;
 }
 
 base::Duration
@@ -31,8 +49,8 @@
   if (IsReader()) {
     return base::Duration::zero();
   }
-  const std::size_t rank = std::min(m_roster.RankInZone(), kStaggered);
-  return m_timing.m_patience + rank * m_timing.m_stagger;
+  const std::size_t turn = m_roster.RankInZone() + m_roster.ZonesBefore();
+  return m_timing.m_patience + std::min(turn, kStaggered) * m_timing.m_stagger;
 }
 
 void
@@ -42,7 +60,7 @@
   if (m_facts.AnsweredAt() <= m_toldAt) {
     return;
   }
-  auto news = m_facts.NewsSince(m_toldBefore, aNow);
+  const auto news = m_facts.NewsSince(m_toldBefore, aNow);
   if (!news) {
     return;
   }
@@ -53,23 +71,113 @@
     m_toldBefore = news->m_to;
     return;
   }
-  if (registry::EncodeNews(*news).size() > kMaxNewsBytes) {
-    news->m_facts.clear();
-    news->m_from = news->m_to;
-  }
   m_toldBefore = m_toldLast;
   m_toldLast = news->m_to;
-  m_outbox.SendNews(m_roster.ZonePeers(), *news);
+  TellFleet(Shortened(*news));
+}
+
+void
+FactRelay::TellFleet(const registry::News& aNews)
+{
+  std::vector<NewsCopy> copies;
+  for (const auto& [zone, members] : m_roster.LiveByZone()) {
+    if (zone != m_roster.Self().m_zone && !members.empty()) {
+      copies.push_back({ Shuffle(members).front(), { aNews, true, {} } });
+    }
+  }
+  AddZone(aNews, copies);
+  m_outbox.SendNews(copies);
+}
+
+void
+FactRelay::AddZone(const registry::News& aNews, std::vector<NewsCopy>& aCopies)
+{
+  const auto own = m_roster.LiveByZone().find(m_roster.Self().m_zone);
+  if (own == m_roster.LiveByZone().end()) {
+    return;
+  }
+  const auto peers = Shuffle(own->second);
+  const auto heads = static_cast<std::size_t>(
+    std::ceil(std::sqrt(static_cast<double>(peers.size()))));
+  for (std::size_t head = 0; head < heads; ++head) {
+    RelayedNews relayed{ aNews, false, {} };
+    for (std::size_t i = head + heads; i < peers.size(); i += heads) {
+      relayed.m_passTo.push_back(peers[i]);
+    }
+    aCopies.push_back({ peers[head], relayed });
+  }
+}
+
+std::vector<base::Ipv4Address>
+FactRelay::Shuffle(const std::vector<const Member*>& aMembers)
+{
+  std::vector<std::pair<double, base::Ipv4Address>> drawn;
+  drawn.reserve(aMembers.size());
+  for (const Member* member : aMembers) {
+    std::exponential_distribution<double> wait(
+      std::max<std::uint32_t>(member->m_capacity, 1));
+    drawn.emplace_back(wait(m_random), member->m_address);
+  }
+  std::ranges::sort(drawn);
+  std::vector<base::Ipv4Address> order;
+  order.reserve(drawn.size());
+  for (const auto& [wait, address] : drawn) {
+    order.push_back(address);
+  }
+  return order;
 }
 
 void
 FactRelay::OnNews(base::Ipv4Address aFrom,
-                  const registry::News& aNews,
+                  const RelayedNews& aRelayed,
                   base::Instant aNow)
 {
-  if (m_facts.OnNews(aNews, aNow) == registry::NewsOutcome::Gap) {
-    m_outbox.Pull(aFrom, m_facts.Revision());
+  const registry::News& news = aRelayed.m_news;
+  const std::uint64_t known = m_facts.Revision();
+  const Duty duty{ aRelayed.m_toZone,
+                   aRelayed.m_passTo,
+                   std::min(news.m_from, known) };
+  switch (m_facts.OnNews(news, aNow)) {
+    case registry::NewsOutcome::Gap:
+      m_duty = duty;
+      m_outbox.Pull(aFrom, known);
+      return;
+    case registry::NewsOutcome::Learned:
+      PassOn(duty, aNow);
+      return;
+    case registry::NewsOutcome::Stale:
+      return;
+  }
+}
+
+void
+FactRelay::OnPulled(base::Instant aNow)
+{
+  if (m_duty) {
+    PassOn(*m_duty, aNow);
+    m_duty.reset();
+  }
+}
+
+void
+FactRelay::PassOn(const Duty& aDuty, base::Instant aNow)
+{
+  if (!aDuty.m_toZone && aDuty.m_passTo.empty()) {
+    return;
+  }
+  const auto news = m_facts.NewsSince(aDuty.m_from, aNow);
+  if (!news) {
+    return;
+  }
+  const registry::News shortened = Shortened(*news);
+  std::vector<NewsCopy> copies;
+  if (aDuty.m_toZone) {
+    AddZone(shortened, copies);
+  }
+  for (const base::Ipv4Address peer : aDuty.m_passTo) {
+    copies.push_back({ peer, { shortened, false, {} } });
   }
+  m_outbox.SendNews(copies);
 }
 
 } // namespace wasabiloom::fleet
--- a/src/wasabiloom/fleet/FactRelay.h
+++ b/src/wasabiloom/fleet/FactRelay.h
@@ -4,10 +4,13 @@
 #include "wasabiloom/fleet/FactPool.h"
 #include "wasabiloom/fleet/Roster.h"
 
+#include <optional>
+#include <random>
+
 namespace wasabiloom::fleet {
 
-/// Hosts of a zone that read the registry while their news is fresh.
-constexpr std::size_t kReadersAZone = 1;
+/// Hosts of the fleet that read the registry while their news is fresh.
+constexpr std::size_t kReaders = 1;
 
 /// Longest news that is sent in a datagram; what is longer is pulled.
 constexpr std::size_t kMaxNewsBytes = 1000;
@@ -15,9 +18,10 @@
 /// When a host that is no reader takes over.
 struct RelayTiming
 {
-  /// The host next in rank reads when the last news is older.
+  /// A host reads when the last news is older.
   base::Duration m_patience = std::chrono::milliseconds(1800);
-  /// Each further rank waits so much longer, up to kStaggered ranks.
+  /// Each rank within the zone, and each zone before the host's own, waits so
+  /// much longer, up to kStaggered of both.
   base::Duration m_stagger = std::chrono::milliseconds(80);
 
   friend auto operator<=>(const RelayTiming&, const RelayTiming&) = default;
@@ -26,28 +30,39 @@
 /// Ranks above this wait no longer than this one.
 constexpr std::size_t kStaggered = 5;
 
+/// News for one host.
+struct NewsCopy
+{
+  base::Ipv4Address m_to;
+  RelayedNews m_news;
+};
+
 /// Where a relay sends.
 class RelayOutbox
 {
 public:
   virtual ~RelayOutbox();
 
-  /// Sends `aNews` to every host of `aTo`.
-  virtual void SendNews(const std::vector<base::Ipv4Address>& aTo,
-                        const registry::News& aNews) = 0;
+  /// Sends each copy, all with the same statements on members.
+  virtual void SendNews(const std::vector<NewsCopy>& aCopies) = 0;
 
-  /// Asks `aFrom` for all that changed after `aRevision`.
+  /// Asks `aFrom` for all that changed after `aRevision`; OnPulled follows
+  /// when it has answered.
   virtual void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) = 0;
 };
 
-/// Tells the zone whatever the registry answers to this host, and takes in
-/// what other hosts tell. The news of each answer is told twice, so that one
-/// lost datagram leaves no gap. One thread at a time.
+/// Tells the fleet whatever the registry answers to this host, and passes on
+/// what other hosts tell. News goes to one host of each zone, from there to
+/// some of the zone, and from those to the rest, so that no host sends many
+/// copies. Which hosts stand between changes with each news, and the news of
+/// each answer is told twice, so that one lost datagram leaves no gap. One
+/// thread at a time.
 class FactRelay final
 {
 public:
   /// The references must outlive the relay.
   FactRelay(const RelayTiming& aTiming,
+            std::uint64_t aSeed,
             const Roster& aRoster,
             FactPool& aFacts,
             RelayOutbox& aOutbox);
@@ -58,25 +73,46 @@
 
   /// A peer at `aFrom` tells news.
   void OnNews(base::Ipv4Address aFrom,
-              const registry::News& aNews,
+              const RelayedNews& aRelayed,
               base::Instant aNow);
 
+  /// What was pulled has been taken in.
+  void OnPulled(base::Instant aNow);
+
   /// Leaves reading to others from now on.
   void Leave() { m_leaving = true; }
 
-  /// Whether this host reads on behalf of its zone.
+  /// Whether this host reads on behalf of the fleet.
   bool IsReader() const;
 
 private:
+  /// News that waits for what it is to bring.
+  struct Duty
+  {
+    bool m_toZone = false;
+    std::vector<base::Ipv4Address> m_passTo;
+    /// The receivers know everything up to here.
+    std::uint64_t m_from = 0;
+  };
+
   base::Duration Patience() const;
+  void TellFleet(const registry::News& aNews);
+  /// Adds the copies that bring `aNews` to this host's zone.
+  void AddZone(const registry::News& aNews, std::vector<NewsCopy>& aCopies);
+  void PassOn(const Duty& aDuty, base::Instant aNow);
+  /// The members in random order, in which capable ones tend to come first.
+  std::vector<base::Ipv4Address> Shuffle(
+    const std::vector<const Member*>& aMembers);
 
   RelayTiming m_timing;
+  std::mt19937_64 m_random;
   const Roster& m_roster;
   FactPool& m_facts;
   RelayOutbox& m_outbox;
   base::Instant m_toldAt;
   std::uint64_t m_toldLast = 0;
   std::uint64_t m_toldBefore = 0;
+  std::optional<Duty> m_duty;
   bool m_leaving = false;
 };
 
--- /dev/null
+++ b/src/wasabiloom/fleet/FactSearch.cpp
@@ -0,0 +1,158 @@
+#include "wasabiloom/fleet/FactSearch.h"
+
+#include "wasabiloom/fleet/TellerBoard.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wasabiloom::fleet {
+
+SearchOutbox::~SearchOutbox() = default;
+
+FactSearch::FactSearch(std::uint64_t aSeed,
+                       const Roster& aRoster,
+                       FactPool& aFacts,
+                       SearchOutbox& aOutbox)
+  : m_random(aSeed)
+  , m_roster(aRoster)
+  , m_facts(aFacts)
+  , m_outbox(aOutbox)
+{
+}
+
+void
+FactSearch::SetFirst(std::vector<base::Ipv4Address> aFirst)
+{
+  std::erase(aFirst, m_roster.Self().m_address);
+  m_first = std::move(aFirst);
+}
+
+void
+FactSearch::Begin(base::Instant aNow)
+{
+  m_begunAt = aNow;
+  m_searching = true;
+  const bool isCapable = m_roster.Self().m_capacity >= kListingCapacity;
+  const base::Duration wait = m_first.empty() ? base::Duration::zero()
+                              : isCapable
+                                ? Draw(base::Duration::zero(), kListSoon)
+                                : Draw(kListLateFrom, kListLateTo);
+  m_facts.HoldListing(aNow + wait);
+  Ask(aNow);
+}
+
+void
+FactSearch::Tick(bool aIsCutOff, base::Instant aNow)
+{
+  if (m_facts.IsReady() && !aIsCutOff) {
+    Finish(aNow);
+    SayAgain(aNow);
+    return;
+  }
+  m_searching = true;
+  if (m_pullingSince && aNow - *m_pullingSince > kTellerTimeout) {
+    m_pullingSince.reset();
+  }
+  if (!m_pullingSince && aNow - m_askedAt >= AskPause(aNow)) {
+    Ask(aNow);
+  }
+}
+
+base::Duration
+FactSearch::AskPause(base::Instant aNow) const
+{
+  if (aNow - m_begunAt > kStartSpan) {
+    return kAskPauseLate;
+  }
+  return m_noted ? kAskPauseNoted : kAskPause;
+}
+
+void
+FactSearch::Finish(base::Instant aNow)
+{
+  if (!m_searching) {
+    return;
+  }
+  m_searching = false;
+  m_pullingSince.reset();
+  m_saidAt = aNow;
+  for (const base::Ipv4Address board : Boards()) {
+    m_outbox.SendContent(board, FactsKnown{});
+  }
+}
+
+void
+FactSearch::SayAgain(base::Instant aNow)
+{
+  if (aNow - m_begunAt > kStartSpan || aNow - m_saidAt < kSayPause) {
+    return;
+  }
+  m_saidAt = aNow;
+  for (const base::Ipv4Address board : m_first) {
+    // One that starts after this host knows of no teller yet.
+    if (!m_roster.Find(board)) {
+      m_outbox.SendContent(board, FactsKnown{});
+    }
+  }
+}
+
+void
+FactSearch::Ask(base::Instant aNow)
+{
+  m_askedAt = aNow;
+  m_noted = false;
+  for (const base::Ipv4Address board : Boards()) {
+    m_outbox.SendContent(board, FactsWanted{});
+  }
+}
+
+std::vector<base::Ipv4Address>
+FactSearch::Boards()
+{
+  std::set<base::Ipv4Address> boards(m_first.begin(), m_first.end());
+  std::vector<base::Ipv4Address> members;
+  for (const auto& [zone, live] : m_roster.LiveByZone()) {
+    std::ranges::transform(
+      live, std::back_inserter(members), &Member::m_address);
+  }
+  std::vector<base::Ipv4Address> others;
+  std::ranges::sample(
+    members, std::back_inserter(others), kOthersAsked, m_random);
+  boards.insert(others.begin(), others.end());
+  return { boards.begin(), boards.end() };
+}
+
+void
+FactSearch::OnTellers(const Tellers& aTellers, base::Instant aNow)
+{
+  if (!m_searching) {
+    return;
+  }
+  m_noted = true;
+  if (aTellers.m_listing >= kListersABoard && !m_facts.IsReady()) {
+    m_facts.HoldListing(m_begunAt + Draw(kListLateFrom, kListLateTo));
+  }
+  if (!aTellers.m_addresses.empty() && !m_pullingSince) {
+    m_pullingSince = aNow;
+    m_outbox.PullFirst(aTellers.m_addresses.front(), m_facts.Revision());
+  }
+}
+
+void
+FactSearch::OnPullFailed(base::Instant aNow)
+{
+  m_pullingSince.reset();
+  if (m_searching && aNow - m_askedAt >= kAskPause) {
+    Ask(aNow);
+  }
+}
+
+base::Duration
+FactSearch::Draw(base::Duration aFrom, base::Duration aTo)
+{
+  std::uniform_int_distribution<base::Duration::rep> span(aFrom.count(),
+                                                          aTo.count());
+  return base::Duration(span(m_random));
+}
+
+} // namespace wasabiloom::fleet
--- a/src/wasabiloom/fleet/Member.h
+++ b/src/wasabiloom/fleet/Member.h
@@ -33,6 +33,9 @@
   /// Rises with each start of the process and each refutation.
   std::uint64_t m_incarnation = 0;
   Standing m_standing = Standing::Alive;
+  /// How much the host can pass on beside its work: Mbit/s of its link times
+  /// its share of a core.
+  std::uint32_t m_capacity = 1;
 
   friend auto operator<=>(const Member&, const Member&) = default;
 };
--- a/src/wasabiloom/fleet/Message.h
+++ b/src/wasabiloom/fleet/Message.h
@@ -42,8 +42,49 @@
   friend auto operator<=>(const Roll&, const Roll&) = default;
 };
 
-using Content =
-  std::variant<Probe, ProbeAnswer, ProbeRequest, Roll, registry::News>;
+/// News, and the hosts to which the receiver passes it on.
+struct RelayedNews
+{
+  registry::News m_news;
+  /// Pass on to the receiver's whole zone.
+  bool m_toZone = false;
+  /// Pass on to these.
+  std::vector<base::Ipv4Address> m_passTo;
+
+  friend auto operator<=>(const RelayedNews&, const RelayedNews&) = default;
+};
+
+/// The sender looks for a host that can tell it the registry's facts.
+struct FactsWanted
+{
+  friend auto operator<=>(const FactsWanted&, const FactsWanted&) = default;
+};
+
+/// The sender can tell the registry's facts from now on.
+struct FactsKnown
+{
+  friend auto operator<=>(const FactsKnown&, const FactsKnown&) = default;
+};
+
+/// Answers FactsWanted, at once and again when there is more to say.
+struct Tellers
+{
+  /// Hosts that can tell the facts, best first.
+  std::vector<base::Ipv4Address> m_addresses;
+  /// Hosts that asked before the receiver and list the registry themselves.
+  std::uint32_t m_listing = 0;
+
+  friend auto operator<=>(const Tellers&, const Tellers&) = default;
+};
+
+using Content = std::variant<Probe,
+                             ProbeAnswer,
+                             ProbeRequest,
+                             Roll,
+                             RelayedNews,
+                             FactsWanted,
+                             FactsKnown,
+                             Tellers>;
 
 /// One datagram.
 struct Message
--- a/src/wasabiloom/fleet/MessageCodec.cpp
+++ b/src/wasabiloom/fleet/MessageCodec.cpp
@@ -1,95 +1,153 @@
 #include "wasabiloom/fleet/MessageCodec.h"
 
+#include "generated/fleet.pb.h"
+#include "wasabiloom/base/Frame.h"
 #include "wasabiloom/registry/FactsCodec.h"
 
-#include <nlohmann/json.hpp>
+#include <algorithm>
+#include <stdexcept>
 
 namespace wasabiloom::fleet {
 
 namespace {
 
-using nlohmann::json;
+namespace wire = fleet_wire;
 
-constexpr int kFormat = 1;
+constexpr std::uint8_t kFormat = 2;
 
-json
-Write(const Member& aMember)
+/// Place of `aZone` in the message's list of zones, to which it is added.
+std::uint32_t
+PlaceOf(const std::string& aZone, wire::Message& aMessage)
 {
-  return { aMember.m_address.m_bits,
-           aMember.m_zone,
-           aMember.m_incarnation,
-           static_cast<int>(aMember.m_standing) };
+  const auto& zones = aMessage.zones();
+  const auto found = std::find(zones.begin(), zones.end(), aZone);
+  if (found == zones.end()) {
+    aMessage.add_zones(aZone);
+    return static_cast<std::uint32_t>(zones.size() - 1);
+  }
+  return static_cast<std::uint32_t>(found - zones.begin());
+}
+
+void
+Write(const Member& aMember, wire::Member& aOut, wire::Message& aMessage)
+{
+  aOut.set_address(aMember.m_address.m_bits);
+  aOut.set_zone(PlaceOf(aMember.m_zone, aMessage));
+  aOut.set_incarnation(aMember.m_incarnation);
+  aOut.set_standing(static_cast<std::uint32_t>(aMember.m_standing));
+  aOut.set_capacity(aMember.m_capacity);
 }
 
 Member
-ReadMember(const json& aValue)
+Read(const wire::Member& aMember, const wire::Message& aMessage)
 {
-  const int standing = aValue.at(3).get<int>();
-  if (standing < 0 || standing > static_cast<int>(Standing::Gone)) {
-    throw std::invalid_argument("unknown standing");
+  const bool isZoneListed =
+    aMember.zone() < static_cast<std::uint32_t>(aMessage.zones_size());
+  if (!isZoneListed ||
+      aMember.standing() > static_cast<std::uint32_t>(Standing::Gone)) {
+    throw std::invalid_argument("unknown zone or standing");
   }
-  return { { aValue.at(0).get<std::uint32_t>() },
-           aValue.at(1).get<std::string>(),
-           aValue.at(2).get<std::uint64_t>(),
-           static_cast<Standing>(standing) };
+  return { { aMember.address() },
+           aMessage.zones(static_cast<int>(aMember.zone())),
+           aMember.incarnation(),
+           static_cast<Standing>(aMember.standing()),
+           aMember.capacity() };
 }
 
-/// Writes each content as an array; its place in the variant tells the kind.
+/// Writes each kind of content into its field.
 struct ContentWriter
 {
-  json operator()(const Probe& aProbe) const
+  wire::Message& m_out;
+
+  void operator()(const Probe& aProbe) const
+  {
+    wire::Probe& out = *m_out.mutable_probe();
+    out.set_sequence(aProbe.m_sequence);
+    out.set_wants_all(aProbe.m_wantsAll);
+  }
+  void operator()(const ProbeAnswer& aAnswer) const
   {
-    return { aProbe.m_sequence, aProbe.m_wantsAll };
+    m_out.mutable_answer()->set_sequence(aAnswer.m_sequence);
   }
-  json operator()(const ProbeAnswer& aAnswer) const
+  void operator()(const ProbeRequest& aRequest) const
   {
-    return json::array({ aAnswer.m_sequence });
+    wire::ProbeRequest& out = *m_out.mutable_request();
+    out.set_sequence(aRequest.m_sequence);
+    out.set_target(aRequest.m_target.m_bits);
   }
-  json operator()(const ProbeRequest& aRequest) const
+  void operator()(const Roll& /*aRoll*/) const { m_out.mutable_roll(); }
+  void operator()(const RelayedNews& aRelayed) const
   {
-    return { aRequest.m_sequence, aRequest.m_target.m_bits };
+    wire::RelayedNews& out = *m_out.mutable_news();
+    out.set_news(registry::EncodeNews(aRelayed.m_news));
+    out.set_to_zone(aRelayed.m_toZone);
+    for (const base::Ipv4Address address : aRelayed.m_passTo) {
+      out.add_pass_to(address.m_bits);
+    }
   }
-  json operator()(const Roll& /*aRoll*/) const { return json::array(); }
-  json operator()(const registry::News& aNews) const
+  void operator()(const FactsWanted& /*aWanted*/) const
   {
-    const std::string bytes = registry::EncodeNews(aNews);
-    return json::array({ json::binary({ bytes.begin(), bytes.end() }) });
+    m_out.mutable_wanted();
+  }
+  void operator()(const FactsKnown& /*aKnown*/) const { m_out.mutable_known(); }
+  void operator()(const Tellers& aTellers) const
+  {
+    wire::Tellers& out = *m_out.mutable_tellers();
+    for (const base::Ipv4Address address : aTellers.m_addresses) {
+      out.add_addresses(address.m_bits);
+    }
+    out.set_listing(aTellers.m_listing);
   }
 };
 
 registry::News
-ReadNews(const json& aValue)
+ReadNews(const std::string& aBytes)
 {
-  const auto& bytes = aValue.at(0).get_binary();
-  return base::Handle(
-    [&] {
-      return registry::DecodeNews(
-        { reinterpret_cast<const char*>(bytes.data()), bytes.size() });
-    },
-    [](const base::Problem& aProblem) -> registry::News {
-      throw std::invalid_argument(aProblem.m_detail);
-    });
+  return base::Handle([&] { return registry::DecodeNews(aBytes); },
+                      [](const base::Problem& aProblem) -> registry::News {
+                        throw std::invalid_argument(aProblem.m_detail);
+                      });
+}
+
+template<typename Words>
+std::vector<base::Ipv4Address>
+ReadAddresses(const Words& aWords)
+{
+  std::vector<base::Ipv4Address> addresses;
+  for (const std::uint32_t word : aWords) {
+    addresses.push_back({ word });
+  }
+  return addresses;
 }
 
 Content
-ReadContent(std::size_t aKind, const json& aValue)
+ReadContent(const wire::Message& aMessage)
 {
-  switch (aKind) {
-    case 0:
-      return Probe{ aValue.at(0).get<std::uint32_t>(),
-                    aValue.at(1).get<bool>() };
-    case 1:
-      return ProbeAnswer{ aValue.at(0).get<std::uint32_t>() };
-    case 2:
-      return ProbeRequest{ aValue.at(0).get<std::uint32_t>(),
-                           { aValue.at(1).get<std::uint32_t>() } };
-    case 3:
+  switch (aMessage.content_case()) {
+    case wire::Message::kProbe:
+      return Probe{ aMessage.probe().sequence(), aMessage.probe().wants_all() };
+    case wire::Message::kAnswer:
+      return ProbeAnswer{ aMessage.answer().sequence() };
+    case wire::Message::kRequest:
+      return ProbeRequest{ aMessage.request().sequence(),
+                           { aMessage.request().target() } };
+    case wire::Message::kRoll:
       return Roll{};
-    case 4:
-      return ReadNews(aValue);
-    default:
-      throw std::invalid_argument("unknown kind of message");
+    case wire::Message::kNews:
+      return RelayedNews{ ReadNews(aMessage.news().news()),
+                          aMessage.news().to_zone(),
+                          ReadAddresses(aMessage.news().pass_to()) };
+    case wire::Message::kWanted:
+      return FactsWanted{};
+    case wire::Message::kKnown:
+      return FactsKnown{};
+    case wire::Message::kTellers:
+      return Tellers{ ReadAddresses(aMessage.tellers().addresses()),
+                      aMessage.tellers().listing() };
+    case wire::Message::CONTENT_NOT_SET:
+      break;
   }
+  throw std::invalid_argument("unknown kind of message");
 }
 
 } // namespace
@@ -97,36 +155,30 @@
 std::string
 EncodeMessage(const Message& aMessage)
 {
-  json updates = json::array();
+  wire::Message message;
+  Write(aMessage.m_sender, *message.mutable_sender(), message);
   for (const Member& member : aMessage.m_updates) {
-    updates.push_back(Write(member));
+    Write(member, *message.add_updates(), message);
   }
-  const json message = { kFormat,
-                         Write(aMessage.m_sender),
-                         updates,
-                         aMessage.m_content.index(),
-                         std::visit(ContentWriter{}, aMessage.m_content) };
-  std::string bytes;
-  json::to_cbor(message, bytes);
-  return bytes;
+  std::visit(ContentWriter{ message }, aMessage.m_content);
+  return base::Seal(kFormat, message.SerializeAsString());
 }
 
 base::Result<Message>
 DecodeMessage(std::string_view aBytes)
 {
+  BOOST_LEAF_AUTO(body, base::Unseal(kFormat, aBytes));
   try {
-    const json value = json::from_cbor(aBytes.begin(), aBytes.end());
-    if (value.at(0).get<int>() != kFormat) {
-      return base::Fail(base::ResultCode::PeerMessageMalformed,
-                        "message of another format");
+    wire::Message read;
+    if (!read.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+      throw std::invalid_argument("no message");
     }
     Message message;
-    message.m_sender = ReadMember(value.at(1));
-    for (const json& member : value.at(2)) {
-      message.m_updates.push_back(ReadMember(member));
+    message.m_sender = Read(read.sender(), read);
+    for (const wire::Member& member : read.updates()) {
+      message.m_updates.push_back(Read(member, read));
     }
-    message.m_content =
-      ReadContent(value.at(3).get<std::size_t>(), value.at(4));
+    message.m_content = ReadContent(read);
     return message;
   } catch (const std::exception& failure) {
     return base::Fail(base::ResultCode::PeerMessageMalformed, failure.what());
--- a/src/wasabiloom/fleet/Roster.cpp
+++ b/src/wasabiloom/fleet/Roster.cpp
@@ -3,6 +3,8 @@
 #include "wasabiloom/base/Hash.h"
 
 #include <algorithm>
+#include <bit>
+#include <tuple>
 
 namespace wasabiloom::fleet {
 
@@ -14,15 +16,19 @@
 constexpr base::Duration kWholeIntervalAMember = std::chrono::milliseconds(50);
 
 /// The first such exchanges after a start follow each other sooner.
-constexpr base::Duration kFirstWhole = std::chrono::milliseconds(500);
+constexpr base::Duration kFirstWhole = std::chrono::milliseconds(200);
+
+/// Between two looks for members whose time is over.
+constexpr base::Duration kExpireInterval = std::chrono::milliseconds(200);
 
 /// Members that are told of a departure at once.
 constexpr std::size_t kFarewells = 6;
 
-std::uint64_t
-RankKey(base::Ipv4Address aAddress)
+/// Orders members by capacity, the largest first, then by a hash.
+auto
+RankKey(const Member& aMember)
 {
-  return base::Mix(aAddress.m_bits);
+  return std::tuple(~aMember.m_capacity, base::Mix(aMember.m_address.m_bits));
 }
 
 } // namespace
@@ -57,15 +63,19 @@
   if (aMessage.m_sender.m_address == m_self.m_address) {
     return;
   }
-  Learn(aMessage.m_sender, aNow);
+  Learn(aMessage.m_sender, kRidesOfArrival, aNow);
+  const bool isRoll = std::holds_alternative<Roll>(aMessage.m_content);
   for (const Member& member : aMessage.m_updates) {
-    Learn(member, aNow);
+    Learn(member, isRoll ? 0 : kRidesOfArrival, aNow);
   }
+  ReindexIfChanged();
   OnContent(aMessage, aNow);
 }
 
 void
-Roster::Learn(const Member& aMember, base::Instant aNow)
+Roster::Learn(const Member& aMember,
+              std::size_t aRidesOfArrival,
+              base::Instant aNow)
 {
   if (aMember.m_address == m_self.m_address) {
     LearnOfSelf(aMember);
@@ -77,13 +87,14 @@
       return;
     }
     m_entries.emplace(aMember.m_address, Entry{ aMember, aNow });
+    m_updates.Add(aMember, aRidesOfArrival);
   } else if (Overrides(aMember, known->second.m_member)) {
     known->second = { aMember, aNow };
+    m_updates.Add(aMember, RidesOfChange(m_entries.size()));
   } else {
     return;
   }
-  m_updates.Add(aMember, m_entries.size());
-  Reindex();
+  m_changed = true;
   m_outbox.OnStanding(aMember);
 }
 
@@ -96,7 +107,7 @@
     return;
   }
   m_self.m_incarnation = aMember.m_incarnation + 1;
-  m_updates.Add(m_self, m_entries.size());
+  m_updates.Add(m_self, RidesOfChange(m_entries.size()));
 }
 
 void
@@ -214,6 +225,7 @@
     Revive(aNow);
   }
   Expire(aNow);
+  ReindexIfChanged();
 }
 
 void
@@ -232,7 +244,8 @@
   }
   Member accused = known->second.m_member;
   accused.m_standing = Standing::Suspect;
-  Learn(accused, aNow);
+  Learn(accused, 0, aNow);
+  ReindexIfChanged();
   SendProbe(target, false);
 }
 
@@ -286,8 +299,10 @@
     return;
   }
   m_calledAt = aNow;
+  // Who else lives is asked of members in turn, so that the seeds of a fleet
+  // that starts at once need not tell all to all.
   for (const base::Ipv4Address seed : m_seeds) {
-    SendProbe(seed, true);
+    SendProbe(seed, false);
   }
 }
 
@@ -314,44 +329,82 @@
 void
 Roster::Expire(base::Instant aNow)
 {
+  if (aNow - m_expiredAt < kExpireInterval) {
+    return;
+  }
+  m_expiredAt = aNow;
+  const int doublings = std::max<int>(
+    kSuspicionDoublings, static_cast<int>(std::bit_width(m_live.size())));
+  const base::Duration patience =
+    kSuspicionTime * doublings / kSuspicionDoublings;
   std::vector<Member> silent;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const base::Duration age = aNow - entry->second.m_since;
     const Member& member = entry->second.m_member;
-    if (member.m_standing == Standing::Suspect && age > kSuspicionTime) {
+    if (member.m_standing == Standing::Suspect && age > patience) {
       silent.push_back(member);
     }
     const bool forget =
       member.m_standing == Standing::Gone && age > kTombstoneLife;
+    m_changed |= forget;
     entry = forget ? m_entries.erase(entry) : std::next(entry);
   }
   for (Member& member : silent) {
     member.m_standing = Standing::Gone;
-    Learn(member, aNow);
+    Learn(member, 0, aNow);
   }
   std::erase_if(m_foreign, [&](const auto& aOne) {
     return aNow - aOne.second.m_at > kProbeInterval;
   });
 }
 
+void
+Roster::ReindexIfChanged()
+{
+  if (m_changed) {
+    m_changed = false;
+    Reindex();
+  }
+}
+
 void
 Roster::Reindex()
 {
   m_live.clear();
   m_zonePeers.clear();
   m_farPeers.clear();
-  m_rank = 0;
+  m_byZone.clear();
   for (const auto& [address, entry] : m_entries) {
     if (entry.m_member.m_standing == Standing::Gone) {
       continue;
     }
     m_live.push_back(address);
-    if (entry.m_member.m_zone == m_self.m_zone) {
-      m_zonePeers.push_back(address);
-      m_rank += RankKey(address) < RankKey(m_self.m_address) ? 1 : 0;
-    } else {
-      m_farPeers.push_back(address);
+    m_byZone[entry.m_member.m_zone].push_back(&entry.m_member);
+    const bool isNear = entry.m_member.m_zone == m_self.m_zone;
+    (isNear ? m_zonePeers : m_farPeers).push_back(address);
+  }
+  Rank();
+}
+
+void
+Roster::Rank()
+{
+  m_rank = 0;
+  m_fleetRank = 0;
+  m_zonesBefore = 0;
+  const auto own = RankKey(m_self);
+  auto firstOfZone = own;
+  for (const Member* peer : m_byZone[m_self.m_zone]) {
+    firstOfZone = std::min(firstOfZone, RankKey(*peer));
+    m_rank += RankKey(*peer) < own ? 1 : 0;
+  }
+  for (const auto& [zone, members] : m_byZone) {
+    bool isBefore = false;
+    for (const Member* member : members) {
+      m_fleetRank += RankKey(*member) < own ? 1 : 0;
+      isBefore |= RankKey(*member) < firstOfZone;
     }
+    m_zonesBefore += isBefore ? 1 : 0;
   }
 }
 
--- a/src/wasabiloom/fleet/Roster.h
+++ b/src/wasabiloom/fleet/Roster.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace wasabiloom::fleet {
@@ -27,8 +28,10 @@
 /// Members that are asked to probe.
 constexpr std::size_t kHelpers = 2;
 
-/// A suspect that does not refute for so long is gone.
+/// A suspect that does not refute for so long is gone; longer in fleets of
+/// more than kSuspicionDoublings doublings, as a refutation travels longer.
 constexpr base::Duration kSuspicionTime = std::chrono::milliseconds(2000);
+constexpr int kSuspicionDoublings = 7;
 
 /// A gone member is remembered for so long, against late statements.
 constexpr base::Duration kTombstoneLife = std::chrono::seconds(60);
@@ -91,14 +94,20 @@
   /// A message of this host with the statements that ride on it.
   Message Compose(Content aContent);
 
-  /// Place of this host among the members of its zone that are not gone, in
-  /// an order on which all hosts that know the same members agree.
+  /// Place of this host among the members that are not gone, of its zone or
+  /// of all zones, in an order on which all hosts that know the same members
+  /// agree: the most capable first.
   std::size_t RankInZone() const { return m_rank; }
+  std::size_t RankInFleet() const { return m_fleetRank; }
 
-  /// Members of this host's zone that are not gone, without this host.
-  const std::vector<base::Ipv4Address>& ZonePeers() const
+  /// Other zones with a member before this host's zone's first.
+  std::size_t ZonesBefore() const { return m_zonesBefore; }
+
+  /// Members that are not gone, without this host, by zone. Valid until the
+  /// next message or tick.
+  const std::map<std::string, std::vector<const Member*>>& LiveByZone() const
   {
-    return m_zonePeers;
+    return m_byZone;
   }
 
   /// Members that are not gone, with this host.
@@ -131,7 +140,11 @@
     base::Instant m_at;
   };
 
-  void Learn(const Member& aMember, base::Instant aNow);
+  /// Takes in a statement. `aRidesOfArrival`: how often it is passed on when
+  /// the member was not known before.
+  void Learn(const Member& aMember,
+             std::size_t aRidesOfArrival,
+             base::Instant aNow);
   void LearnOfSelf(const Member& aMember);
   void OnContent(const Message& aMessage, base::Instant aNow);
   /// Sends a message that tells its receiver what it is accused of, so that
@@ -147,6 +160,8 @@
   void Revive(base::Instant aNow);
   void Expire(base::Instant aNow);
   void Reindex();
+  void ReindexIfChanged();
+  void Rank();
   std::uint32_t SendProbe(base::Ipv4Address aTo, bool aWantsAll);
   base::Ipv4Address NextTarget();
   std::size_t Draw(std::size_t aCount);
@@ -158,7 +173,11 @@
   std::map<base::Ipv4Address, Entry> m_entries;
   std::vector<base::Ipv4Address> m_live;
   std::vector<base::Ipv4Address> m_zonePeers;
+  std::map<std::string, std::vector<const Member*>> m_byZone;
   std::size_t m_rank = 0;
+  std::size_t m_fleetRank = 0;
+  std::size_t m_zonesBefore = 0;
+  bool m_changed = false;
   std::vector<base::Ipv4Address> m_farPeers;
   ProbeRound m_nearRound;
   ProbeRound m_farRound;
@@ -170,6 +189,7 @@
   int m_misses = 0;
   bool m_leaving = false;
   base::Instant m_tickedAt;
+  base::Instant m_expiredAt;
   base::Instant m_probedAt;
   base::Instant m_calledAt;
   base::Instant m_revivedAt;
--- a/src/wasabiloom/fleet/UpdateQueue.cpp
+++ b/src/wasabiloom/fleet/UpdateQueue.cpp
@@ -13,14 +13,21 @@
 
 } // namespace
 
+std::size_t
+RidesOfChange(std::size_t aMembers)
+{
+  return kRidesADoubling * std::bit_width(aMembers) + 1;
+}
+
 void
-UpdateQueue::Add(const Member& aMember, std::size_t aMembers)
+UpdateQueue::Add(const Member& aMember, std::size_t aRides)
 {
   std::erase_if(m_pending, [&](const Pending& aOne) {
     return aOne.m_member.m_address == aMember.m_address;
   });
-  const std::size_t rides = kRidesADoubling * std::bit_width(aMembers);
-  m_pending.push_back({ aMember, rides + 1 });
+  if (aRides > 0) {
+    m_pending.push_back({ aMember, aRides });
+  }
 }
 
 std::vector<Member>
--- a/src/wasabiloom/fleet/UpdateQueue.h
+++ b/src/wasabiloom/fleet/UpdateQueue.h
@@ -10,14 +10,22 @@
 /// Statements that ride on one message.
 constexpr std::size_t kUpdatesAMessage = 16;
 
-/// What was told least often goes first; what was told often enough for the
-/// size of the fleet is dropped. One thread at a time.
+/// Times that a statement is to ride in a fleet of `aMembers`. Thread safe.
+std::size_t
+RidesOfChange(std::size_t aMembers);
+
+/// That a member is there for the first time rides no more often: members also
+/// tell each other all they know from time to time.
+constexpr std::size_t kRidesOfArrival = 8;
+
+/// What was told least often goes first; what was told often enough is
+/// dropped. One thread at a time.
 class UpdateQueue
 {
 public:
-  /// Replaces what waits to be told of the same member. `aMembers` is the size
-  /// of the fleet.
-  void Add(const Member& aMember, std::size_t aMembers);
+  /// Replaces what waits to be told of the same member; it is told `aRides`
+  /// times.
+  void Add(const Member& aMember, std::size_t aRides);
 
   /// The statements for one message.
   std::vector<Member> Take();
--- a/src/wasabiloom/placing/Placer.cpp
+++ b/src/wasabiloom/placing/Placer.cpp
@@ -2,19 +2,23 @@
 
 #include "wasabiloom/base/Hash.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <algorithm>
 #include <tuple>
-#include <vector>
 
 namespace wasabiloom::placing {
 
 namespace {
 
+/// Up to so many candidates cost no allocation.
+constexpr std::size_t kUsualCandidates = 72;
+
 /// Median of the answer times that are known; zero when none is.
 base::Duration
 MedianLatency(std::span<const Candidate> aCandidates)
 {
-  std::vector<base::Duration> known;
+  boost::container::small_vector<base::Duration, kUsualCandidates> known;
   for (const Candidate& candidate : aCandidates) {
     if (candidate.m_latency > base::Duration::zero()) {
       known.push_back(candidate.m_latency);
--- a/src/wasabiloom/registry/Beliefs.cpp
+++ b/src/wasabiloom/registry/Beliefs.cpp
@@ -14,6 +14,23 @@
   return aPresence == Presence::Listed || aPresence == Presence::Lapsed;
 }
 
+/// Whether the entry `aServer` says nothing that is not believed already: a
+/// cold server renews its entry all the time, as what remains shrinks.
+bool
+SaysTheSame(const ServerBelief& aBelief,
+            const Server& aServer,
+            base::Instant aNow)
+{
+  Server known = aBelief.m_server;
+  known.m_coldFor = aServer.m_coldFor;
+  const base::Instant coldBefore = std::max(aBelief.m_coldUntil, aNow);
+  const base::Instant coldNow = aNow + aServer.m_coldFor;
+  const base::Duration apart =
+    std::max(coldBefore, coldNow) - std::min(coldBefore, coldNow);
+  return aBelief.m_presence == Presence::Listed && known == aServer &&
+         apart <= kSameCold;
+}
+
 } // namespace
 
 std::string_view
@@ -32,22 +49,6 @@
   return "unlisted";
 }
 
-std::string_view
-ToString(Outcome aOutcome)
-{
-  switch (aOutcome) {
-    case Outcome::Unchanged:
-      return "unchanged";
-    case Outcome::Adopted:
-      return "adopted";
-    case Outcome::Stale:
-      return "stale";
-    case Outcome::SetAside:
-      return "set_aside";
-  }
-  return "unlisted";
-}
-
 std::uint32_t
 MakeToken(std::string_view aId, std::uint64_t aBorn)
 {
@@ -63,7 +64,9 @@
 {
   switch (aFact.m_kind) {
     case FactKind::Configuration:
-      return ApplyConfiguration(aFact);
+      return ApplyConfiguration(aFact, aNow);
+    case FactKind::Route:
+      return ApplyRoute(aFact, aNow);
     case FactKind::Server:
       return ApplyServer(aFact, aNow);
     case FactKind::ZoneOut:
@@ -75,25 +78,28 @@
 }
 
 Outcome
-Beliefs::ApplyConfiguration(const Fact& aFact)
+Beliefs::ApplyConfiguration(const Fact& aFact, base::Instant aNow)
 {
-  const auto* configuration = std::get_if<Configuration>(&aFact.m_content);
-  if (configuration == nullptr) {
-    return Outcome::SetAside;
+  if (const auto* whole = std::get_if<Configuration>(&aFact.m_content)) {
+    return m_routes.Adopt(*whole, aFact.m_revision, aNow);
   }
-  if (configuration->m_version == m_configuration.m_version) {
-    return Outcome::Unchanged;
+  if (const auto* terms = std::get_if<ConfigurationTerms>(&aFact.m_content)) {
+    return m_routes.Adopt(*terms, aFact.m_revision);
   }
-  if (configuration->m_version < m_configuration.m_version) {
-    return Outcome::Stale;
+  return Outcome::SetAside;
+}
+
+Outcome
+Beliefs::ApplyRoute(const Fact& aFact, base::Instant aNow)
+{
+  if (const auto* route = std::get_if<Route>(&aFact.m_content)) {
+    return m_routes.Adopt(*route, aFact.m_revision);
   }
-  m_configuration = *configuration;
-  m_configurationRevision = aFact.m_revision;
-  m_routes.clear();
-  for (const Route& route : m_configuration.m_routes) {
-    m_routes.emplace(base::Pack(route.m_address), &route);
+  const auto address = base::ParseEndpoint(aFact.m_name);
+  if (!address || !std::holds_alternative<Removed>(aFact.m_content)) {
+    return Outcome::SetAside;
   }
-  return Outcome::Adopted;
+  return m_routes.Remove(*address, aFact.m_revision, aNow);
 }
 
 Outcome
@@ -105,26 +111,38 @@
     return aFact.m_revision == belief->m_revision ? Outcome::Unchanged
                                                   : Outcome::Stale;
   }
-  const auto* server = std::get_if<Server>(&aFact.m_content);
-  if (server == nullptr) {
-    if (belief == nullptr) {
-      return std::holds_alternative<Removed>(aFact.m_content)
-               ? Outcome::Unchanged
-               : Outcome::SetAside;
-    }
+  if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
+    return ApplyEntry(*server, aFact.m_revision, belief, aNow);
+  }
+  if (belief != nullptr) {
     return RemoveServer(*belief, aFact.m_revision, aNow);
   }
-  if (belief == nullptr || belief->m_server.m_born != server->m_born) {
+  return std::holds_alternative<Removed>(aFact.m_content) ? Outcome::Unchanged
+                                                          : Outcome::SetAside;
+}
+
+Outcome
+Beliefs::ApplyEntry(const Server& aServer,
+                    std::uint64_t aRevision,
+                    ServerBelief* aKnown,
+                    base::Instant aNow)
+{
+  if (aKnown != nullptr && SaysTheSame(*aKnown, aServer, aNow)) {
+    aKnown->m_revision = aRevision;
+    return Outcome::Unchanged;
+  }
+  ServerBelief* belief = aKnown;
+  if (belief == nullptr || belief->m_server.m_born != aServer.m_born) {
     if (belief != nullptr) {
       SetPresence(*belief, Presence::Replaced, aNow);
     }
-    belief = &Add(*server);
+    belief = &Add(aServer);
   }
-  belief->m_server = *server;
-  belief->m_revision = aFact.m_revision;
-  belief->m_coldUntil = aNow + server->m_coldFor;
+  belief->m_server = aServer;
+  belief->m_revision = aRevision;
+  belief->m_changeRevision = aRevision;
+  belief->m_coldUntil = aNow + aServer.m_coldFor;
   SetPresence(*belief, Presence::Listed, aNow);
-  IndexServices();
   return Outcome::Adopted;
 }
 
@@ -137,9 +155,9 @@
   if (!TakesFlows(aBelief.m_presence)) {
     return Outcome::Unchanged;
   }
+  aBelief.m_changeRevision = aRevision;
   const bool saidFarewell = aBelief.m_server.m_state == ServerState::Draining;
   SetPresence(aBelief, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
-  IndexServices();
   return Outcome::Adopted;
 }
 
@@ -153,6 +171,9 @@
     // Every host gives the token to the smaller id, in whatever order they
     // come; the other start is known, but takes no flow.
     auto& spare = m_byToken[MakeToken(aServer.m_id, ~aServer.m_born)];
+    if (spare != nullptr) {
+      m_byService.Remove(*spare);
+    }
     spare = std::make_unique<ServerBelief>();
     spare->m_token = MakeToken(aServer.m_id, ~aServer.m_born);
     spare->m_clashes = true;
@@ -162,6 +183,9 @@
   if (clashes) {
     m_byId.erase(slot->m_server.m_id);
   }
+  if (slot != nullptr) {
+    m_byService.Remove(*slot);
+  }
   slot = std::make_unique<ServerBelief>();
   slot->m_token = token;
   m_byId[aServer.m_id] = slot.get();
@@ -177,6 +201,17 @@
     aBelief.m_presence = aPresence;
     aBelief.m_since = aNow;
   }
+  if (aPresence == Presence::Listed) {
+    m_away.erase(aBelief.m_token);
+  } else {
+    m_away.insert(aBelief.m_token);
+  }
+  if (TakesFlows(aPresence)) {
+    m_byService.Add(
+      aBelief.m_server.m_service, aBelief.m_server.m_zone, aBelief);
+  } else {
+    m_byService.Remove(aBelief);
+  }
 }
 
 Outcome
@@ -203,6 +238,10 @@
                     const std::set<std::pair<FactKind, std::string>>& aFound,
                     base::Instant aNow)
 {
+  if (!m_listed) {
+    // Whatever was removed before is not known here.
+    m_forgottenRevision = std::max(m_forgottenRevision, aRevision);
+  }
   m_listed = true;
   for (const auto& [id, belief] : m_byId) {
     if (belief->m_revision <= aRevision &&
@@ -221,50 +260,36 @@
 void
 Beliefs::Tick(base::Instant aNow)
 {
-  bool changed = false;
-  for (auto entry = m_byToken.begin(); entry != m_byToken.end();) {
-    ServerBelief& belief = *entry->second;
-    if (belief.m_presence == Presence::Lapsed &&
-        aNow - belief.m_since > kLapseGrace) {
-      SetPresence(belief, Presence::Gone, aNow);
-      changed = true;
-    }
-    const bool forget =
-      !TakesFlows(belief.m_presence) && aNow - belief.m_since > kForgetAfter;
-    if (!forget) {
-      ++entry;
-      continue;
+  std::vector<std::uint32_t> forgotten;
+  for (const std::uint32_t token : m_away) {
+    ServerBelief& belief = *m_byToken.at(token);
+    const base::Duration age = aNow - belief.m_since;
+    if (belief.m_presence == Presence::Lapsed && age > kLapseGrace) {
+      belief.m_presence = Presence::Gone;
+      belief.m_since = aNow;
+      m_byService.Remove(belief);
+    } else if (!TakesFlows(belief.m_presence) && age > kForgetAfter) {
+      forgotten.push_back(token);
     }
-    m_forgottenRevision = std::max(m_forgottenRevision, belief.m_revision);
-    const auto latest = m_byId.find(belief.m_server.m_id);
-    if (latest != m_byId.end() && latest->second == &belief) {
-      m_byId.erase(latest);
-    }
-    entry = m_byToken.erase(entry);
   }
-  if (changed) {
-    IndexServices();
+  for (const std::uint32_t token : forgotten) {
+    Forget(token);
   }
+  m_forgottenRevision =
+    std::max(m_forgottenRevision, m_routes.Forget(aNow - kForgetAfter));
 }
 
 void
-Beliefs::IndexServices()
+Beliefs::Forget(std::uint32_t aToken)
 {
-  for (auto& [service, servers] : m_byService) {
-    servers.clear();
-  }
-  for (const auto& [id, belief] : m_byId) {
-    if (TakesFlows(belief->m_presence)) {
-      m_byService[belief->m_server.m_service].push_back(belief);
-    }
+  const ServerBelief& belief = *m_byToken.at(aToken);
+  m_forgottenRevision = std::max(m_forgottenRevision, belief.m_revision);
+  const auto latest = m_byId.find(belief.m_server.m_id);
+  if (latest != m_byId.end() && latest->second == &belief) {
+    m_byId.erase(latest);
   }
-}
-
-const Route*
-Beliefs::FindRoute(const base::Endpoint& aAddress) const
-{
-  const auto found = m_routes.find(base::Pack(aAddress));
-  return found == m_routes.end() ? nullptr : found->second;
+  m_away.erase(aToken);
+  m_byToken.erase(aToken);
 }
 
 const ServerBelief*
@@ -274,14 +299,6 @@
   return found == m_byToken.end() ? nullptr : found->second.get();
 }
 
-const std::vector<const ServerBelief*>&
-Beliefs::ServersOf(std::string_view aService) const
-{
-  static const std::vector<const ServerBelief*> sNone;
-  const auto found = m_byService.find(aService);
-  return found == m_byService.end() ? sNone : found->second;
-}
-
 std::optional<base::Instant>
 Beliefs::ZoneOutSince(const std::string& aZone) const
 {
@@ -300,36 +317,50 @@
     return std::nullopt;
   }
   std::vector<Fact> facts;
-  if (m_configuration.m_version > 0 && m_configurationRevision > aRevision) {
-    facts.push_back({ FactKind::Configuration,
-                      "",
-                      m_configurationRevision,
-                      m_configuration });
+  if (!whole) {
+    m_routes.AppendChanges(aRevision, facts);
+  } else if (InForce().m_version > 0) {
+    facts.push_back(
+      { FactKind::Configuration, "", m_routes.Revision(), m_routes.Whole() });
   }
+  AppendServers(aRevision, aNow, facts);
+  AppendZones(aRevision, facts);
+  return facts;
+}
+
+void
+Beliefs::AppendServers(std::uint64_t aRevision,
+                       base::Instant aNow,
+                       std::vector<Fact>& aFacts) const
+{
   for (const auto& [id, belief] : m_byId) {
-    if (belief->m_revision <= aRevision) {
+    if (belief->m_changeRevision <= aRevision) {
       continue;
     }
     if (belief->m_presence == Presence::Listed) {
       Server server = belief->m_server;
       server.m_coldFor =
         std::max(belief->m_coldUntil - aNow, base::Duration::zero());
-      facts.push_back({ FactKind::Server, id, belief->m_revision, server });
-    } else if (!whole) {
-      facts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
+      aFacts.push_back({ FactKind::Server, id, belief->m_revision, server });
+    } else if (aRevision != 0) {
+      aFacts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
     }
   }
+}
+
+void
+Beliefs::AppendZones(std::uint64_t aRevision, std::vector<Fact>& aFacts) const
+{
   for (const auto& [name, zone] : m_zones) {
     if (zone.m_revision <= aRevision) {
       continue;
     }
     if (zone.m_out) {
-      facts.push_back({ FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
-    } else if (!whole) {
-      facts.push_back({ FactKind::ZoneOut, name, zone.m_revision, Removed{} });
+      aFacts.push_back({ FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
+    } else if (aRevision != 0) {
+      aFacts.push_back({ FactKind::ZoneOut, name, zone.m_revision, Removed{} });
     }
   }
-  return facts;
 }
 
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/registry/Beliefs.h
+++ b/src/wasabiloom/registry/Beliefs.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "wasabiloom/registry/Facts.h"
+#include "wasabiloom/registry/RouteTable.h"
+#include "wasabiloom/registry/ServiceIndex.h"
 
 #include <map>
 #include <memory>
@@ -39,7 +41,10 @@
   base::Instant m_since;
   /// Until when the server is cold.
   base::Instant m_coldUntil;
+  /// Revision of the latest entry.
   std::uint64_t m_revision = 0;
+  /// Revision of the latest entry that said something new.
+  std::uint64_t m_changeRevision = 0;
   /// Another start has the same token; this one takes no flow.
   bool m_clashes = false;
 };
@@ -55,22 +60,9 @@
 /// How long a start that is gone keeps its token.
 constexpr base::Duration kForgetAfter = std::chrono::seconds(75);
 
-/// What came of a fact.
-enum class Outcome : std::uint8_t
-{
-  /// Nothing new.
-  Unchanged,
-  /// The belief changed.
-  Adopted,
-  /// Older than what is believed.
-  Stale,
-  /// Could not be understood and was left aside.
-  SetAside,
-};
-
-/// Name of `aOutcome` for logs. Thread safe.
-std::string_view
-ToString(Outcome aOutcome);
+/// Two entries of a server that is cold say the same when they differ by less
+/// in how long it stays so.
+constexpr base::Duration kSameCold = std::chrono::milliseconds(400);
 
 /// Facts in force on this host. Never goes back to an older revision of a
 /// fact, nor to an older version of the configuration. One thread at a time.
@@ -95,19 +87,31 @@
   void Tick(base::Instant aNow);
 
   /// Whether a configuration and a whole listing were seen.
-  bool IsComplete() const { return m_listed && m_configuration.m_version > 0; }
+  bool IsComplete() const { return m_listed && InForce().m_version > 0; }
+
+  /// Version in force, without its routes.
+  const ConfigurationTerms& InForce() const { return m_routes.Terms(); }
 
-  const Configuration& InForce() const { return m_configuration; }
+  /// Version in force with its routes.
+  Configuration WholeConfiguration() const { return m_routes.Whole(); }
 
   /// Route at `aAddress`, or null.
-  const Route* FindRoute(const base::Endpoint& aAddress) const;
+  const Route* FindRoute(const base::Endpoint& aAddress) const
+  {
+    return m_routes.Find(aAddress);
+  }
 
   /// Start that `aToken` names, or null.
   const ServerBelief* FindToken(std::uint32_t aToken) const;
 
   /// Starts of the service's servers that are listed or lapsed.
-  const std::vector<const ServerBelief*>& ServersOf(
-    std::string_view aService) const;
+  ServiceIndex::Servers ServersOf(std::string_view aService) const
+  {
+    return m_byService.All(aService);
+  }
+
+  /// The same servers, to draw from.
+  const ServiceIndex& Index() const { return m_byService; }
 
   /// When `aZone` was seen taken out; empty when it is in service.
   std::optional<base::Instant> ZoneOutSince(const std::string& aZone) const;
@@ -127,8 +131,13 @@
     std::uint64_t m_revision = 0;
   };
 
-  Outcome ApplyConfiguration(const Fact& aFact);
+  Outcome ApplyConfiguration(const Fact& aFact, base::Instant aNow);
+  Outcome ApplyRoute(const Fact& aFact, base::Instant aNow);
   Outcome ApplyServer(const Fact& aFact, base::Instant aNow);
+  Outcome ApplyEntry(const Server& aServer,
+                     std::uint64_t aRevision,
+                     ServerBelief* aKnown,
+                     base::Instant aNow);
   Outcome ApplyZone(const Fact& aFact, base::Instant aNow);
   Outcome RemoveServer(ServerBelief& aBelief,
                        std::uint64_t aRevision,
@@ -137,19 +146,22 @@
   void SetPresence(ServerBelief& aBelief,
                    Presence aPresence,
                    base::Instant aNow);
-  void IndexServices();
-
-  Configuration m_configuration;
-  std::uint64_t m_configurationRevision = 0;
-  /// Latest revision of a removal that is no longer remembered.
+  void Forget(std::uint32_t aToken);
+  void AppendServers(std::uint64_t aRevision,
+                     base::Instant aNow,
+                     std::vector<Fact>& aFacts) const;
+  void AppendZones(std::uint64_t aRevision, std::vector<Fact>& aFacts) const;
+
+  RouteTable m_routes;
+  /// Latest revision of a removal that is not, or no longer, remembered.
   std::uint64_t m_forgottenRevision = 0;
   bool m_listed = false;
-  std::unordered_map<std::uint64_t, const Route*> m_routes;
   std::unordered_map<std::uint32_t, std::unique_ptr<ServerBelief>> m_byToken;
   /// The latest start of each id.
   std::map<std::string, ServerBelief*, std::less<>> m_byId;
-  std::map<std::string, std::vector<const ServerBelief*>, std::less<>>
-    m_byService;
+  ServiceIndex m_byService;
+  /// Tokens of starts that are not listed.
+  std::set<std::uint32_t> m_away;
   std::map<std::string, ZoneBelief> m_zones;
 };
 
--- a/src/wasabiloom/registry/Facts.cpp
+++ b/src/wasabiloom/registry/Facts.cpp
@@ -12,6 +12,8 @@
       return "server";
     case FactKind::ZoneOut:
       return "zone_out";
+    case FactKind::Route:
+      return "route";
     case FactKind::Other:
       return "other";
   }
--- a/src/wasabiloom/registry/Facts.h
+++ b/src/wasabiloom/registry/Facts.h
@@ -55,6 +55,18 @@
   friend auto operator<=>(const Configuration&, const Configuration&) = default;
 };
 
+/// A version of the configuration without its routes, which travel as facts of
+/// their own.
+struct ConfigurationTerms
+{
+  std::uint64_t m_version = 0;
+  std::vector<ServiceRules> m_services;
+  base::Duration m_idleTimeout{ 0 };
+
+  friend auto operator<=>(const ConfigurationTerms&,
+                          const ConfigurationTerms&) = default;
+};
+
 /// What a backend server says of itself.
 enum class ServerState : std::uint8_t
 {
@@ -107,17 +119,24 @@
   Configuration,
   Server,
   ZoneOut,
+  /// One route of the configuration; named by its address.
+  Route,
   Other,
 };
 
-using FactContent =
-  std::variant<Configuration, Server, ZoneOut, Unusable, Removed>;
+using FactContent = std::variant<Configuration,
+                                 ConfigurationTerms,
+                                 Route,
+                                 Server,
+                                 ZoneOut,
+                                 Unusable,
+                                 Removed>;
 
 /// One published value, or its removal.
 struct Fact
 {
   FactKind m_kind = FactKind::Other;
-  /// Id of the server, or name of the zone.
+  /// Id of the server, name of the zone, or address of the route.
   std::string m_name;
   /// Rises with every change in the registry.
   std::uint64_t m_revision = 0;
--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -1,191 +1,316 @@
 #include "wasabiloom/registry/FactsCodec.h"
 
-#include <nlohmann/json.hpp>
+#include "generated/fleet.pb.h"
+#include "wasabiloom/base/Frame.h"
+
+#include <stdexcept>
+
+#include <zstd.h>
 
 namespace wasabiloom::registry {
 
 namespace {
 
-using nlohmann::json;
+namespace wire = fleet_wire;
+
+constexpr std::uint8_t kFormat = 3;
+
+/// First byte of packed facts.
+constexpr char kPlain = 0;
+constexpr char kCompressed = 1;
 
-constexpr int kFormat = 2;
+/// Shorter lists of facts gain nothing by compression.
+constexpr std::size_t kCompressFrom = 256;
 
-/// Stands for content that is no longer there.
-constexpr bool kRemoved = false;
+/// Beyond the fastest levels, time grows faster than bytes shrink.
+constexpr int kLevel = 2;
 
-json
-Write(const base::Endpoint& aEndpoint)
+void
+Write(const Route& aRoute, wire::Route& aOut)
 {
-  return base::Pack(aEndpoint);
+  aOut.set_name(aRoute.m_name);
+  aOut.set_address(base::Pack(aRoute.m_address));
+  for (const ServiceShare& share : aRoute.m_shares) {
+    wire::Share& out = *aOut.add_shares();
+    out.set_service(share.m_service);
+    out.set_weight(share.m_weight);
+  }
 }
 
-base::Endpoint
-ReadEndpoint(const json& aValue)
+Route
+Read(const wire::Route& aRoute)
 {
-  return base::UnpackEndpoint(aValue.get<std::uint64_t>());
+  Route route;
+  route.m_name = aRoute.name();
+  route.m_address = base::UnpackEndpoint(aRoute.address());
+  for (const wire::Share& share : aRoute.shares()) {
+    route.m_shares.push_back({ share.service(), share.weight() });
+  }
+  return route;
 }
 
-json
-Write(const Configuration& aConfiguration)
+void
+Write(const ConfigurationTerms& aTerms, wire::Terms& aOut)
 {
-  json routes = json::array();
-  for (const Route& route : aConfiguration.m_routes) {
-    json shares = json::array();
-    for (const ServiceShare& share : route.m_shares) {
-      shares.push_back({ share.m_service, share.m_weight });
-    }
-    routes.push_back({ route.m_name, Write(route.m_address), shares });
-  }
-  json services = json::array();
-  for (const ServiceRules& service : aConfiguration.m_services) {
-    services.push_back({ service.m_name, service.m_coldFlowsPerSecond });
+  aOut.set_version(aTerms.m_version);
+  for (const ServiceRules& service : aTerms.m_services) {
+    wire::ServiceRules& out = *aOut.add_services();
+    out.set_name(service.m_name);
+    out.set_cold_flows_per_second(service.m_coldFlowsPerSecond);
   }
-  return { { "version", aConfiguration.m_version },
-           { "routes", routes },
-           { "services", services },
-           { "idle_ns", aConfiguration.m_idleTimeout.count() } };
+  aOut.set_idle_ns(aTerms.m_idleTimeout.count());
 }
 
-Configuration
-ReadConfiguration(const json& aValue)
-{
-  Configuration configuration;
-  configuration.m_version = aValue.at("version").get<std::uint64_t>();
-  for (const json& item : aValue.at("routes")) {
-    Route route;
-    route.m_name = item.at(0).get<std::string>();
-    route.m_address = ReadEndpoint(item.at(1));
-    for (const json& share : item.at(2)) {
-      route.m_shares.push_back(
-        { share.at(0).get<std::string>(), share.at(1).get<std::uint32_t>() });
-    }
-    configuration.m_routes.push_back(std::move(route));
-  }
-  for (const json& item : aValue.at("services")) {
-    configuration.m_services.push_back(
-      { item.at(0).get<std::string>(), item.at(1).get<double>() });
+ConfigurationTerms
+Read(const wire::Terms& aTerms)
+{
+  ConfigurationTerms terms;
+  terms.m_version = aTerms.version();
+  for (const wire::ServiceRules& service : aTerms.services()) {
+    terms.m_services.push_back(
+      { service.name(), service.cold_flows_per_second() });
   }
-  configuration.m_idleTimeout =
-    base::Duration(aValue.at("idle_ns").get<std::int64_t>());
-  return configuration;
+  terms.m_idleTimeout = base::Duration(aTerms.idle_ns());
+  return terms;
 }
 
-json
-Write(const Server& aServer)
+Configuration
+Read(const wire::Configuration& aConfiguration)
 {
-  return { aServer.m_id,
-           aServer.m_number,
-           aServer.m_born,
-           aServer.m_service,
-           Write(aServer.m_address),
-           aServer.m_zone,
-           aServer.m_slots,
-           aServer.m_state == ServerState::Draining,
-           aServer.m_coldFor.count() };
+  const ConfigurationTerms terms = Read(aConfiguration.terms());
+  Configuration configuration{
+    terms.m_version, {}, terms.m_services, terms.m_idleTimeout
+  };
+  for (const wire::Route& route : aConfiguration.routes()) {
+    configuration.m_routes.push_back(Read(route));
+  }
+  return configuration;
 }
 
 Server
-ReadServer(const json& aValue)
+Read(const wire::Server& aServer, const std::string& aId)
 {
   Server server;
-  std::size_t at = 0;
-  server.m_id = aValue.at(at++).get<std::string>();
-  server.m_number = aValue.at(at++).get<std::uint64_t>();
-  server.m_born = aValue.at(at++).get<std::uint64_t>();
-  server.m_service = aValue.at(at++).get<std::string>();
-  server.m_address = ReadEndpoint(aValue.at(at++));
-  server.m_zone = aValue.at(at++).get<std::string>();
-  server.m_slots = aValue.at(at++).get<std::uint32_t>();
+  server.m_id = aId;
+  server.m_number = aServer.number();
+  server.m_born = aServer.born();
+  server.m_service = aServer.service();
+  server.m_address = base::UnpackEndpoint(aServer.address());
+  server.m_zone = aServer.zone();
+  server.m_slots = aServer.slots();
   server.m_state =
-    aValue.at(at++).get<bool>() ? ServerState::Draining : ServerState::Ready;
-  server.m_coldFor = base::Duration(aValue.at(at++).get<std::int64_t>());
+    aServer.draining() ? ServerState::Draining : ServerState::Ready;
+  server.m_coldFor = base::Duration(aServer.cold_ns());
   return server;
 }
 
+/// Writes each kind of content into its field.
+struct ContentWriter
+{
+  wire::Fact& m_out;
+
+  void operator()(const Configuration& aConfiguration) const
+  {
+    wire::Configuration& out = *m_out.mutable_configuration();
+    Write({ aConfiguration.m_version,
+            aConfiguration.m_services,
+            aConfiguration.m_idleTimeout },
+          *out.mutable_terms());
+    for (const Route& route : aConfiguration.m_routes) {
+      Write(route, *out.add_routes());
+    }
+  }
+  void operator()(const ConfigurationTerms& aTerms) const
+  {
+    Write(aTerms, *m_out.mutable_terms());
+  }
+  void operator()(const Route& aRoute) const
+  {
+    Write(aRoute, *m_out.mutable_route());
+  }
+  void operator()(const Server& aServer) const
+  {
+    wire::Server& out = *m_out.mutable_server();
+    out.set_number(aServer.m_number);
+    out.set_born(aServer.m_born);
+    out.set_service(aServer.m_service);
+    out.set_address(base::Pack(aServer.m_address));
+    out.set_zone(aServer.m_zone);
+    out.set_slots(aServer.m_slots);
+    out.set_draining(aServer.m_state == ServerState::Draining);
+    out.set_cold_ns(aServer.m_coldFor.count());
+  }
+  void operator()(const ZoneOut& /*aZone*/) const { m_out.mutable_zone_out(); }
+  void operator()(const Unusable& /*aContent*/) const {}
+  void operator()(const Removed& /*aContent*/) const
+  {
+    m_out.mutable_removed();
+  }
+};
+
 FactContent
-ReadServerContent(const json& aValue)
+ReadContent(const wire::Fact& aFact)
 {
-  if (aValue == kRemoved) {
-    return Removed{};
+  switch (aFact.content_case()) {
+    case wire::Fact::kConfiguration:
+      return Read(aFact.configuration());
+    case wire::Fact::kTerms:
+      return Read(aFact.terms());
+    case wire::Fact::kRoute:
+      return Read(aFact.route());
+    case wire::Fact::kServer:
+      return Read(aFact.server(), aFact.name());
+    case wire::Fact::kZoneOut:
+      return ZoneOut{};
+    case wire::Fact::kRemoved:
+      return Removed{};
+    case wire::Fact::CONTENT_NOT_SET:
+      break;
   }
-  return ReadServer(aValue);
+  throw std::invalid_argument("fact without content");
 }
 
-json
-Write(const Fact& aFact)
+/// Whether `aContent` can be said of a fact of kind `aKind`.
+bool
+Fits(FactKind aKind, const FactContent& aContent)
 {
-  json content;
-  if (const auto* configuration =
-        std::get_if<Configuration>(&aFact.m_content)) {
-    content = Write(*configuration);
-  } else if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
-    content = Write(*server);
-  } else if (std::holds_alternative<Removed>(aFact.m_content)) {
-    content = kRemoved;
+  const bool isRemoved = std::holds_alternative<Removed>(aContent);
+  switch (aKind) {
+    case FactKind::Configuration:
+      return std::holds_alternative<Configuration>(aContent) ||
+             std::holds_alternative<ConfigurationTerms>(aContent);
+    case FactKind::Server:
+      return isRemoved || std::holds_alternative<Server>(aContent);
+    case FactKind::ZoneOut:
+      return isRemoved || std::holds_alternative<ZoneOut>(aContent);
+    case FactKind::Route:
+      return isRemoved || std::holds_alternative<Route>(aContent);
+    case FactKind::Other:
+      break;
   }
-  return {
-    static_cast<int>(aFact.m_kind), aFact.m_name, aFact.m_revision, content
-  };
+  return false;
 }
 
 Fact
-ReadFact(const json& aValue)
+Read(const wire::Fact& aFact)
 {
-  const int kind = aValue.at(0).get<int>();
-  Fact fact;
-  fact.m_name = aValue.at(1).get<std::string>();
-  fact.m_revision = aValue.at(2).get<std::uint64_t>();
-  const json& content = aValue.at(3);
-  if (kind == static_cast<int>(FactKind::Configuration)) {
-    fact.m_kind = FactKind::Configuration;
-    fact.m_content = ReadConfiguration(content);
-  } else if (kind == static_cast<int>(FactKind::Server)) {
-    fact.m_kind = FactKind::Server;
-    fact.m_content = ReadServerContent(content);
-  } else if (kind == static_cast<int>(FactKind::ZoneOut)) {
-    fact.m_kind = FactKind::ZoneOut;
-    fact.m_content =
-      content == kRemoved ? FactContent(Removed{}) : FactContent(ZoneOut{});
-  } else {
+  if (aFact.kind() >= static_cast<std::uint32_t>(FactKind::Other)) {
     throw std::invalid_argument("unknown kind of fact");
   }
+  Fact fact;
+  fact.m_kind = static_cast<FactKind>(aFact.kind());
+  fact.m_name = aFact.name();
+  fact.m_revision = aFact.revision();
+  fact.m_content = ReadContent(aFact);
+  if (!Fits(fact.m_kind, fact.m_content)) {
+    throw std::invalid_argument("content of another kind of fact");
+  }
   return fact;
 }
 
+std::string
+Compress(std::string_view aPlain)
+{
+  std::string out(ZSTD_compressBound(aPlain.size()), '\0');
+  const std::size_t size =
+    ZSTD_compress(out.data(), out.size(), aPlain.data(), aPlain.size(), kLevel);
+  out.resize(ZSTD_isError(size) != 0U ? 0 : size);
+  return out;
+}
+
+std::string
+Decompress(std::string_view aCompressed)
+{
+  const auto size =
+    ZSTD_getFrameContentSize(aCompressed.data(), aCompressed.size());
+  if (size > kMaxUnpackedBytes) {
+    throw std::invalid_argument("facts of unknown or excessive length");
+  }
+  std::string out(size, '\0');
+  const std::size_t got = ZSTD_decompress(
+    out.data(), out.size(), aCompressed.data(), aCompressed.size());
+  if (ZSTD_isError(got) != 0U || got != size) {
+    throw std::invalid_argument("facts can't be decompressed");
+  }
+  return out;
+}
+
+std::vector<Fact>
+UnpackFacts(std::string_view aPacked)
+{
+  if (aPacked.empty() || aPacked.front() > kCompressed) {
+    throw std::invalid_argument("facts in an unknown packing");
+  }
+  const std::string_view body = aPacked.substr(1);
+  wire::FactList list;
+  const bool isRead =
+    aPacked.front() == kCompressed
+      ? list.ParseFromString(Decompress(body))
+      : list.ParseFromArray(body.data(), static_cast<int>(body.size()));
+  if (!isRead) {
+    throw std::invalid_argument("no list of facts");
+  }
+  std::vector<Fact> facts;
+  facts.reserve(static_cast<std::size_t>(list.facts_size()));
+  for (const wire::Fact& fact : list.facts()) {
+    facts.push_back(Read(fact));
+  }
+  return facts;
+}
+
 } // namespace
 
 std::string
-EncodeNews(const News& aNews)
+PackFacts(const std::vector<Fact>& aFacts)
 {
-  json facts = json::array();
-  for (const Fact& fact : aNews.m_facts) {
-    facts.push_back(Write(fact));
+  wire::FactList list;
+  for (const Fact& fact : aFacts) {
+    wire::Fact& out = *list.add_facts();
+    out.set_kind(static_cast<std::uint32_t>(fact.m_kind));
+    out.set_name(fact.m_name);
+    out.set_revision(fact.m_revision);
+    std::visit(ContentWriter{ out }, fact.m_content);
   }
-  const json news = {
-    kFormat, aNews.m_from, aNews.m_to, aNews.m_age.count(), facts
-  };
-  std::string bytes;
-  json::to_cbor(news, bytes);
-  return bytes;
+  const std::string plain = list.SerializeAsString();
+  if (plain.size() >= kCompressFrom) {
+    const std::string compressed = Compress(plain);
+    if (!compressed.empty()) {
+      return std::string(1, kCompressed).append(compressed);
+    }
+  }
+  return std::string(1, kPlain).append(plain);
+}
+
+std::string
+EncodeNews(const News& aNews, std::string_view aPacked)
+{
+  wire::News news;
+  news.set_from(aNews.m_from);
+  news.set_to(aNews.m_to);
+  news.set_age_ns(aNews.m_age.count());
+  news.set_facts(aPacked.data(), aPacked.size());
+  return base::Seal(kFormat, news.SerializeAsString());
+}
+
+std::string
+EncodeNews(const News& aNews)
+{
+  return EncodeNews(aNews, PackFacts(aNews.m_facts));
 }
 
 base::Result<News>
 DecodeNews(std::string_view aBytes)
 {
+  BOOST_LEAF_AUTO(body, base::Unseal(kFormat, aBytes));
   try {
-    const json news = json::from_cbor(aBytes.begin(), aBytes.end());
-    if (news.at(0).get<int>() != kFormat) {
-      return base::Fail(base::ResultCode::PeerMessageMalformed,
-                        "facts of another format");
-    }
-    News read;
-    read.m_from = news.at(1).get<std::uint64_t>();
-    read.m_to = news.at(2).get<std::uint64_t>();
-    read.m_age = base::Duration(news.at(3).get<std::int64_t>());
-    for (const json& fact : news.at(4)) {
-      read.m_facts.push_back(ReadFact(fact));
+    wire::News news;
+    if (!news.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+      throw std::invalid_argument("no news");
     }
-    return read;
+    return News{ news.from(),
+                 news.to(),
+                 base::Duration(news.age_ns()),
+                 UnpackFacts(news.facts()) };
   } catch (const std::exception& failure) {
     return base::Fail(base::ResultCode::PeerMessageMalformed, failure.what());
   }
--- a/src/wasabiloom/registry/FactsCodec.h
+++ b/src/wasabiloom/registry/FactsCodec.h
@@ -1,4 +1,4 @@
-/// Facts as bytes, for hosts that learn from each other.
+/// News as bytes that hosts exchange.
 #pragma once
 
 #include "wasabiloom/base/Result.h"
@@ -9,12 +9,23 @@
 
 namespace wasabiloom::registry {
 
-/// Writes news in CBOR. Thread safe.
+/// Facts as bytes, compressed where that pays. Thread safe.
+std::string
+PackFacts(const std::vector<Fact>& aFacts);
+
+/// `aNews` with its facts already packed as `aPacked`. Thread safe.
+std::string
+EncodeNews(const News& aNews, std::string_view aPacked);
+
+/// Bytes of `aNews`. Thread safe.
 std::string
 EncodeNews(const News& aNews);
 
-/// Reads what EncodeNews wrote. Errors: PeerMessageMalformed. Thread safe.
+/// Inverse of EncodeNews. Errors: PeerMessageMalformed. Thread safe.
 base::Result<News>
 DecodeNews(std::string_view aBytes);
 
+/// Longest list of facts that is unpacked, in bytes.
+constexpr std::size_t kMaxUnpackedBytes = 16 * 1024 * 1024;
+
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -36,7 +36,8 @@
 ReaderCall
 Reader::Next(base::Instant aNow)
 {
-  if (m_inCall || aNow < m_due || OthersRead(aNow)) {
+  const bool isHeld = m_listing && !m_reached && aNow < m_listNotBefore;
+  if (m_inCall || aNow < m_due || isHeld || OthersRead(aNow)) {
     return {};
   }
   m_inCall = true;
@@ -72,7 +73,7 @@
     m_found.clear();
   }
   AddNames(m_found, aPage.m_facts);
-  Take(aPage.m_facts, aNow);
+  Take(aPage.m_facts, Origin::Listing, aNow);
   m_after = aPage.m_next;
   if (!m_after.empty()) {
     return;
@@ -92,7 +93,7 @@
   m_inCall = false;
   m_confirmed = true;
   NoteAnswer(aChanges.m_revision, aNow);
-  Take(aChanges.m_facts, aNow);
+  Take(aChanges.m_facts, Origin::Watch, aNow);
   m_revision = std::max(m_revision, aChanges.m_revision);
   m_due = aChanges.m_facts.empty() ? aNow : aNow + m_timing.m_pace;
 }
@@ -126,7 +127,7 @@
     return NewsOutcome::Gap;
   }
   if (aNews.m_to > m_revision) {
-    Take(aNews.m_facts, aNow);
+    Take(aNews.m_facts, Origin::Peer, aNow);
     if (aNews.m_from == 0) {
       Names found;
       AddNames(found, aNews.m_facts);
@@ -148,17 +149,25 @@
 }
 
 std::optional<News>
-Reader::NewsSince(std::uint64_t aRevision, base::Instant aNow) const
+Reader::Freshness(base::Instant aNow) const
 {
   if (!m_confirmed || !m_beliefs.IsComplete()) {
     return std::nullopt;
   }
+  return News{ m_revision, m_revision, aNow - m_learnedAt, {} };
+}
+
+std::optional<News>
+Reader::NewsSince(std::uint64_t aRevision, base::Instant aNow) const
+{
+  auto news = Freshness(aNow);
+  if (!news) {
+    return std::nullopt;
+  }
   const auto changed = m_beliefs.FactsSince(aRevision, aNow);
-  const std::uint64_t from = changed ? aRevision : 0;
-  return News{ from,
-               m_revision,
-               aNow - m_learnedAt,
-               changed ? *changed : *m_beliefs.FactsSince(0, aNow) };
+  news->m_from = changed ? aRevision : 0;
+  news->m_facts = changed ? *changed : *m_beliefs.FactsSince(0, aNow);
+  return news;
 }
 
 bool
@@ -179,10 +188,12 @@
 }
 
 void
-Reader::Take(const std::vector<Fact>& aFacts, base::Instant aNow)
+Reader::Take(const std::vector<Fact>& aFacts,
+             Origin aOrigin,
+             base::Instant aNow)
 {
   for (const Fact& fact : aFacts) {
-    m_events.OnFact(fact, m_beliefs.Apply(fact, aNow));
+    m_events.OnFact(fact, m_beliefs.Apply(fact, aNow), aOrigin);
   }
 }
 
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -46,6 +46,17 @@
   base::Duration m_timeout{ 0 };
 };
 
+/// Where a fact came from.
+enum class Origin : std::uint8_t
+{
+  /// One of many that were there before this host.
+  Listing,
+  /// A change that the registry told this host.
+  Watch,
+  /// Another host.
+  Peer,
+};
+
 /// What the reader tells of itself.
 class ReaderEvents
 {
@@ -53,7 +64,7 @@
   virtual ~ReaderEvents();
 
   /// A fact came; the outcome says what became of it.
-  virtual void OnFact(const Fact& aFact, Outcome aOutcome) = 0;
+  virtual void OnFact(const Fact& aFact, Outcome aOutcome, Origin aOrigin) = 0;
 
   /// A call failed; `aFailures` in a row, the next one after `aPause`.
   virtual void OnCallFailed(const CallFailure& aFailure,
@@ -107,10 +118,17 @@
   std::optional<News> NewsSince(std::uint64_t aRevision,
                                 base::Instant aNow) const;
 
+  /// News without facts that says how fresh this host's knowledge is; empty
+  /// when it knows too little itself.
+  std::optional<News> Freshness(base::Instant aNow) const;
+
   /// Calls are made only when the last news is older than `aPatience`; zero
   /// for a host that reads on behalf of others.
   void SetPatience(base::Duration aPatience) { m_patience = aPatience; }
 
+  /// A first listing begins no sooner than `aUntil`.
+  void HoldListing(base::Instant aUntil) { m_listNotBefore = aUntil; }
+
   /// Makes the next call due now, not earlier than `kHurryPause` after the
   /// last answer or news.
   void Hurry(base::Instant aNow);
@@ -133,7 +151,9 @@
   bool IsFailing() const { return m_failures > 0; }
 
 private:
-  void Take(const std::vector<Fact>& aFacts, base::Instant aNow);
+  void Take(const std::vector<Fact>& aFacts,
+            Origin aOrigin,
+            base::Instant aNow);
   void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
   void RestartListing();
   bool OthersRead(base::Instant aNow) const;
@@ -155,6 +175,7 @@
   std::uint64_t m_revision = 0;
   std::uint32_t m_failures = 0;
   base::Instant m_due;
+  base::Instant m_listNotBefore;
   base::Instant m_answeredAt;
   base::Instant m_learnedAt;
 };
--- /dev/null
+++ b/src/wasabiloom/registry/RouteTable.cpp
@@ -0,0 +1,165 @@
+#include "wasabiloom/registry/RouteTable.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace wasabiloom::registry {
+
+std::string_view
+ToString(Outcome aOutcome)
+{
+  switch (aOutcome) {
+    case Outcome::Unchanged:
+      return "unchanged";
+    case Outcome::Adopted:
+      return "adopted";
+    case Outcome::Stale:
+      return "stale";
+    case Outcome::SetAside:
+      return "set_aside";
+  }
+  return "unlisted";
+}
+
+Outcome
+RouteTable::Adopt(const ConfigurationTerms& aTerms, std::uint64_t aRevision)
+{
+  if (aTerms.m_version <= m_terms.m_version) {
+    return aTerms.m_version == m_terms.m_version ? Outcome::Unchanged
+                                                 : Outcome::Stale;
+  }
+  m_terms = aTerms;
+  m_revision = aRevision;
+  return Outcome::Adopted;
+}
+
+Outcome
+RouteTable::Adopt(const Configuration& aConfiguration,
+                  std::uint64_t aRevision,
+                  base::Instant aNow)
+{
+  const Outcome outcome = Adopt({ aConfiguration.m_version,
+                                  aConfiguration.m_services,
+                                  aConfiguration.m_idleTimeout },
+                                aRevision);
+  if (outcome != Outcome::Adopted) {
+    return outcome;
+  }
+  std::unordered_set<std::uint64_t> named;
+  named.reserve(aConfiguration.m_routes.size());
+  for (const Route& route : aConfiguration.m_routes) {
+    // Of two routes at one address the first counts.
+    if (named.insert(base::Pack(route.m_address)).second) {
+      Adopt(route, aRevision);
+    }
+  }
+  for (const auto& [address, entry] : m_entries) {
+    if (!named.contains(address)) {
+      Remove(entry.m_route.m_address, aRevision, aNow);
+    }
+  }
+  return outcome;
+}
+
+Outcome
+RouteTable::Adopt(const Route& aRoute, std::uint64_t aRevision)
+{
+  const auto [slot, isNew] =
+    m_entries.try_emplace(base::Pack(aRoute.m_address));
+  Entry& entry = slot->second;
+  if (!isNew && aRevision < entry.m_revision) {
+    return Outcome::Stale;
+  }
+  if (!isNew && !entry.m_removed && entry.m_route == aRoute) {
+    return Outcome::Unchanged;
+  }
+  m_removed -= entry.m_removed ? 1 : 0;
+  entry = { aRoute, aRevision, false, {} };
+  return Outcome::Adopted;
+}
+
+Outcome
+RouteTable::Remove(const base::Endpoint& aAddress,
+                   std::uint64_t aRevision,
+                   base::Instant aNow)
+{
+  // A route that is not known here is noted too: an older word on it may come.
+  const auto [slot, isNew] = m_entries.try_emplace(base::Pack(aAddress));
+  Entry& entry = slot->second;
+  if (entry.m_removed) {
+    return Outcome::Unchanged;
+  }
+  if (aRevision < entry.m_revision) {
+    return Outcome::Stale;
+  }
+  entry.m_route.m_address = aAddress;
+  entry.m_revision = aRevision;
+  entry.m_removed = true;
+  entry.m_removedAt = aNow;
+  ++m_removed;
+  return isNew ? Outcome::Unchanged : Outcome::Adopted;
+}
+
+const Route*
+RouteTable::Find(const base::Endpoint& aAddress) const
+{
+  const auto found = m_entries.find(base::Pack(aAddress));
+  return found == m_entries.end() || found->second.m_removed
+           ? nullptr
+           : &found->second.m_route;
+}
+
+Configuration
+RouteTable::Whole() const
+{
+  Configuration whole{
+    m_terms.m_version, {}, m_terms.m_services, m_terms.m_idleTimeout
+  };
+  for (const auto& [address, entry] : m_entries) {
+    if (!entry.m_removed) {
+      whole.m_routes.push_back(entry.m_route);
+    }
+  }
+  std::ranges::sort(whole.m_routes, {}, &Route::m_address);
+  return whole;
+}
+
+void
+RouteTable::AppendChanges(std::uint64_t aRevision,
+                          std::vector<Fact>& aFacts) const
+{
+  if (m_revision <= aRevision) {
+    return;
+  }
+  aFacts.push_back({ FactKind::Configuration, "", m_revision, m_terms });
+  for (const auto& [address, entry] : m_entries) {
+    if (entry.m_revision <= aRevision) {
+      continue;
+    }
+    const std::string name = ToString(entry.m_route.m_address);
+    const FactContent content =
+      entry.m_removed ? FactContent(Removed{}) : FactContent(entry.m_route);
+    aFacts.push_back({ FactKind::Route, name, entry.m_revision, content });
+  }
+}
+
+std::uint64_t
+RouteTable::Forget(base::Instant aBefore)
+{
+  std::uint64_t latest = 0;
+  if (m_removed == 0) {
+    return latest;
+  }
+  std::erase_if(m_entries, [&](const auto& aOne) {
+    const Entry& entry = aOne.second;
+    const bool forget = entry.m_removed && entry.m_removedAt < aBefore;
+    if (forget) {
+      latest = std::max(latest, entry.m_revision);
+      --m_removed;
+    }
+    return forget;
+  });
+  return latest;
+}
+
+} // namespace wasabiloom::registry
--- /dev/null
+++ b/src/wasabiloom/registry/ServiceIndex.cpp
@@ -0,0 +1,124 @@
+#include "wasabiloom/registry/ServiceIndex.h"
+
+#include "wasabiloom/base/Hash.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace wasabiloom::registry {
+
+namespace {
+
+/// Calls `aTake` with `aCount` different numbers below `aOf`, in an order that
+/// `aHash` decides.
+template<typename Take>
+void
+DrawNumbers(std::size_t aCount,
+            std::size_t aOf,
+            std::uint64_t aHash,
+            const Take& aTake)
+{
+  if (aOf == 0) {
+    return;
+  }
+  // A step without a common divisor meets each number once.
+  std::size_t step = 1 + base::Mix(aHash + 1) % aOf;
+  while (std::gcd(step, aOf) != 1) {
+    ++step;
+  }
+  std::size_t number = base::Mix(aHash) % aOf;
+  for (std::size_t i = 0; i < std::min(aCount, aOf); ++i) {
+    aTake(number);
+    number = (number + step) % aOf;
+  }
+}
+
+} // namespace
+
+void
+ServiceIndex::Add(const std::string& aService,
+                  const std::string& aZone,
+                  const ServerBelief& aServer)
+{
+  Servers& list = m_lists[aService][aZone];
+  const auto known = m_places.find(&aServer);
+  if (known != m_places.end() && known->second.m_list == &list) {
+    return;
+  }
+  Remove(aServer);
+  m_places[&aServer] = { &list, list.size() };
+  list.push_back(&aServer);
+}
+
+void
+ServiceIndex::Remove(const ServerBelief& aServer)
+{
+  const auto known = m_places.find(&aServer);
+  if (known == m_places.end()) {
+    return;
+  }
+  const Place place = known->second;
+  m_places.erase(known);
+  const ServerBelief* last = place.m_list->back();
+  place.m_list->pop_back();
+  if (last != &aServer) {
+    (*place.m_list)[place.m_position] = last;
+    m_places[last].m_position = place.m_position;
+  }
+}
+
+ServiceIndex::Servers
+ServiceIndex::All(std::string_view aService) const
+{
+  Servers all;
+  const auto found = m_lists.find(aService);
+  if (found == m_lists.end()) {
+    return all;
+  }
+  for (const auto& [zone, servers] : found->second) {
+    all.insert(all.end(), servers.begin(), servers.end());
+  }
+  return all;
+}
+
+void
+ServiceIndex::Draw(std::string_view aService,
+                   std::string_view aZone,
+                   const DrawSize& aSize,
+                   std::uint64_t aHash,
+                   Servers& aDrawn) const
+{
+  aDrawn.clear();
+  const auto found = m_lists.find(aService);
+  if (found == m_lists.end()) {
+    return;
+  }
+  const Zones& zones = found->second;
+  std::size_t far = 0;
+  for (const auto& [zone, servers] : zones) {
+    far += zone == aZone ? 0 : servers.size();
+  }
+  const auto near = zones.find(aZone);
+  if (near != zones.end()) {
+    const std::size_t left = aSize.m_all - std::min(far, aSize.m_all);
+    const std::size_t count = std::max(aSize.m_near, left);
+    DrawNumbers(count, near->second.size(), aHash, [&](std::size_t aNumber) {
+      aDrawn.push_back(near->second[aNumber]);
+    });
+  }
+  const std::size_t left = aSize.m_all - std::min(aDrawn.size(), aSize.m_all);
+  DrawNumbers(left, far, ~aHash, [&](std::size_t aNumber) {
+    for (const auto& [zone, servers] : zones) {
+      if (zone == aZone) {
+        continue;
+      }
+      if (aNumber < servers.size()) {
+        aDrawn.push_back(servers[aNumber]);
+        return;
+      }
+      aNumber -= servers.size();
+    }
+  });
+}
+
+} // namespace wasabiloom::registry
--- a/src/wasabiloom/settings/TokenHostSettings.h
+++ b/src/wasabiloom/settings/TokenHostSettings.h
@@ -39,6 +39,9 @@
   base::Duration m_newsWithin{ 0 };
   /// A process that is told to stop is killed after this.
   base::Duration m_stopGrace{ 0 };
+  /// Bandwidth of the host's link, and the share of a core that it may use.
+  double m_linkMbps = 0;
+  double m_cores = 0;
   std::string m_logLevel;
 
   friend auto operator<=>(const TokenHostSettings&,
--- a/src/wasabiloom/token/BeliefLog.cpp
+++ b/src/wasabiloom/token/BeliefLog.cpp
@@ -22,6 +22,9 @@
                std::get_if<registry::Configuration>(&aFact.m_content)) {
     text += " version=" + std::to_string(configuration->m_version) +
             " routes=" + std::to_string(configuration->m_routes.size());
+  } else if (const auto* terms =
+               std::get_if<registry::ConfigurationTerms>(&aFact.m_content)) {
+    text += " version=" + std::to_string(terms->m_version);
   } else if (const auto* unusable =
                std::get_if<registry::Unusable>(&aFact.m_content)) {
     text += " why=\"" + unusable->m_reason + "\"";
@@ -31,6 +34,29 @@
   return text;
 }
 
+/// A few words on a fact: what it is about, and what became of that.
+std::string
+NameFact(const registry::Fact& aFact)
+{
+  if (const auto* terms =
+        std::get_if<registry::ConfigurationTerms>(&aFact.m_content)) {
+    return "version:" + std::to_string(terms->m_version);
+  }
+  if (const auto* whole =
+        std::get_if<registry::Configuration>(&aFact.m_content)) {
+    return "version:" + std::to_string(whole->m_version);
+  }
+  std::string name = aFact.m_name;
+  if (std::holds_alternative<registry::Removed>(aFact.m_content)) {
+    name += ":removed";
+  } else if (const auto* server =
+               std::get_if<registry::Server>(&aFact.m_content)) {
+    name += server->m_state == registry::ServerState::Draining ? ":draining"
+                                                               : ":ready";
+  }
+  return name;
+}
+
 } // namespace
 
 BeliefLog::BeliefLog(Totals& aTotals, TokenEffects& aEffects)
@@ -40,15 +66,48 @@
 }
 
 void
-BeliefLog::OnFact(const registry::Fact& aFact, registry::Outcome aOutcome)
+BeliefLog::OnFact(const registry::Fact& aFact,
+                  registry::Outcome aOutcome,
+                  registry::Origin aOrigin)
 {
   if (aOutcome == registry::Outcome::Unchanged) {
     return;
   }
+  Count(aFact, aOutcome);
+  const std::string what = "fact_" + std::string(ToString(aOutcome));
+  if (aOrigin == registry::Origin::Watch ||
+      aOutcome == registry::Outcome::SetAside) {
+    m_effects.LogBelief(what, DescribeFact(aFact));
+  } else if (m_effects.LogsDetails()) {
+    m_effects.LogDetail(what, DescribeFact(aFact));
+  }
+}
+
+void
+BeliefLog::Count(const registry::Fact& aFact, registry::Outcome aOutcome)
+{
   m_totals.m_factsAdopted += aOutcome == registry::Outcome::Adopted ? 1 : 0;
   m_totals.m_factsSetAside += aOutcome == registry::Outcome::SetAside ? 1 : 0;
-  m_effects.LogBelief("fact_" + std::string(ToString(aOutcome)),
-                      DescribeFact(aFact));
+  if (aOutcome != registry::Outcome::Adopted) {
+    ++m_others;
+    return;
+  }
+  if (m_adopted < kNamedFacts) {
+    m_named += m_adopted == 0 ? " named=" : ",";
+    m_named += NameFact(aFact);
+  }
+  ++m_adopted;
+}
+
+std::string
+BeliefLog::TakeSummary()
+{
+  const std::string summary = " adopted=" + std::to_string(m_adopted) +
+                              " others=" + std::to_string(m_others) + m_named;
+  m_adopted = 0;
+  m_others = 0;
+  m_named.clear();
+  return summary;
 }
 
 void
@@ -78,7 +137,7 @@
 {
   m_effects.LogBelief("registry_listed",
                       "revision=" + std::to_string(aRevision) +
-                        " facts=" + std::to_string(aFacts));
+                        " facts=" + std::to_string(aFacts) + TakeSummary());
 }
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/BeliefLog.h
+++ b/src/wasabiloom/token/BeliefLog.h
@@ -7,24 +7,38 @@
 
 namespace wasabiloom::token {
 
-/// One line for each change of belief and each failed call. One thread at a
-/// time.
+/// Facts that a line names.
+constexpr std::size_t kNamedFacts = 4;
+
+/// One line for each change that the registry told this host, for each listing
+/// and for each failed call; what is heard from peers is told in sum. One
+/// thread at a time.
 class BeliefLog final : public registry::ReaderEvents
 {
 public:
   /// The references must outlive the log.
   BeliefLog(Totals& aTotals, TokenEffects& aEffects);
 
-  void OnFact(const registry::Fact& aFact, registry::Outcome aOutcome) override;
+  void OnFact(const registry::Fact& aFact,
+              registry::Outcome aOutcome,
+              registry::Origin aOrigin) override;
   void OnCallFailed(const registry::CallFailure& aFailure,
                     std::uint32_t aFailures,
                     base::Duration aPause) override;
   void OnReachable(std::uint64_t aRevision) override;
   void OnListed(std::uint64_t aRevision, std::size_t aFacts) override;
 
+  /// What facts did since the last call, as key=value with a space before.
+  std::string TakeSummary();
+
 private:
+  void Count(const registry::Fact& aFact, registry::Outcome aOutcome);
+
   Totals& m_totals;
   TokenEffects& m_effects;
+  std::size_t m_adopted = 0;
+  std::size_t m_others = 0;
+  std::string m_named;
 };
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/ServerWatch.cpp
+++ b/src/wasabiloom/token/ServerWatch.cpp
@@ -97,11 +97,39 @@
          m_suspicion.IsSuspect(aServer.m_token, aNow);
 }
 
-std::vector<placing::Candidate>
-ServerWatch::CandidatesOf(std::string_view aService, base::Instant aNow) const
+std::optional<placing::Placement>
+ServerWatch::Choose(std::string_view aService,
+                    std::uint32_t aAvoid,
+                    std::uint64_t aHash,
+                    base::Instant aNow)
 {
-  std::vector<placing::Candidate> candidates;
-  for (const ServerBelief* server : m_beliefs.ServersOf(aService)) {
+  m_candidates.clear();
+  std::optional<placing::Placement> best;
+  for (std::uint64_t draw = 0; draw < kDraws; ++draw) {
+    m_beliefs.Index().Draw(
+      aService, m_ownZone, {}, base::Combine(aHash, draw), m_drawn);
+    AddCandidates(m_drawn, aNow);
+    best = placing::Place(m_candidates, aAvoid, aHash);
+    const bool isGood = best &&
+                        best->m_reason == placing::PlaceReason::LeastLoad &&
+                        best->m_token != aAvoid;
+    const bool wereAll = m_drawn.size() < registry::DrawSize{}.m_all;
+    if (isGood || wereAll) {
+      return best;
+    }
+  }
+  if (best) {
+    return best;
+  }
+  AddCandidates(m_beliefs.ServersOf(aService), aNow);
+  return placing::Place(m_candidates, aAvoid, aHash);
+}
+
+void
+ServerWatch::AddCandidates(const registry::ServiceIndex::Servers& aServers,
+                           base::Instant aNow)
+{
+  for (const ServerBelief* server : aServers) {
     if (!MayTakeFlow(*server)) {
       continue;
     }
@@ -115,9 +143,8 @@
     candidate.m_sameZone = server->m_server.m_zone == m_ownZone;
     candidate.m_cold = aNow < server->m_coldUntil;
     candidate.m_suspect = IsSuspect(*server, aNow);
-    candidates.push_back(candidate);
+    m_candidates.push_back(candidate);
   }
-  return candidates;
 }
 
 bool
--- a/src/wasabiloom/token/ServerWatch.h
+++ b/src/wasabiloom/token/ServerWatch.h
@@ -8,6 +8,7 @@
 #include "wasabiloom/registry/Beliefs.h"
 #include "wasabiloom/token/FlowMemory.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,9 @@
 /// of the server.
 constexpr base::Duration kRepeatedAtOnce = std::chrono::milliseconds(100);
 
+/// Draws of servers after which the best of what was seen is taken.
+constexpr std::uint64_t kDraws = 3;
+
 /// Signs of life and doubt, answer times and load of all servers. One thread
 /// at a time.
 class ServerWatch
@@ -42,9 +46,13 @@
                   FlowRecord& aRecord,
                   base::Instant aNow);
 
-  /// The servers that may take a new flow of `aService`.
-  std::vector<placing::Candidate> CandidatesOf(std::string_view aService,
-                                               base::Instant aNow) const;
+  /// Chooses the server of a new flow of `aService` with hash `aHash`; see
+  /// placing::Place. Of many servers only some are looked at, and all before
+  /// the answer is that there is none.
+  std::optional<placing::Placement> Choose(std::string_view aService,
+                                           std::uint32_t aAvoid,
+                                           std::uint64_t aHash,
+                                           base::Instant aNow);
 
   /// Whether `aServer` may take a new flow at all.
   bool MayTakeFlow(const registry::ServerBelief& aServer) const;
@@ -58,6 +66,8 @@
   void Sweep(base::Instant aNow);
 
 private:
+  void AddCandidates(const registry::ServiceIndex::Servers& aServers,
+                     base::Instant aNow);
   void DoubtZone(const registry::ServerBelief& aServer, base::Instant aNow);
   bool IsSuspect(const registry::ServerBelief& aServer,
                  base::Instant aNow) const;
@@ -69,6 +79,9 @@
   /// Doubt about whole zones other than the own one.
   placing::Suspicion m_zoneSuspicion;
   placing::LatencyBook m_latencies;
+  /// Kept between choices, so that they need no memory of their own.
+  registry::ServiceIndex::Servers m_drawn;
+  std::vector<placing::Candidate> m_candidates;
 };
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/TokenEffects.h
+++ b/src/wasabiloom/token/TokenEffects.h
@@ -29,6 +29,13 @@
   /// Records a change of belief: what, and details as key=value.
   virtual void LogBelief(std::string_view aWhat,
                          const std::string& aDetail) = 0;
+
+  /// Records a detail of such a change that is also told in sum.
+  virtual void LogDetail(std::string_view aWhat,
+                         const std::string& aDetail) = 0;
+
+  /// Whether details are recorded.
+  virtual bool LogsDetails() const = 0;
 };
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -11,6 +11,12 @@
 
 constexpr base::Duration kSweepInterval = std::chrono::seconds(1);
 
+std::int64_t
+Milliseconds(base::Duration aSpan)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+}
+
 } // namespace
 
 TokenHost::TokenHost(TokenHostIdentity aIdentity,
@@ -72,10 +78,9 @@
   if (!isFirst && aNow - m_ranAt > kPauseLimit) {
     m_wokeAt = aNow;
     m_reader.Hurry(aNow);
-    const auto gap =
-      std::chrono::duration_cast<std::chrono::milliseconds>(aNow - m_ranAt);
     m_effects.LogBelief("woke_from_pause",
-                        "gap_ms=" + std::to_string(gap.count()));
+                        "gap_ms=" +
+                          std::to_string(Milliseconds(aNow - m_ranAt)));
   }
   m_ranAt = aNow;
 }
@@ -136,8 +141,8 @@
       m_servers.OnUnanswered(*before, aNow);
     }
   }
-  const auto placement = placing::Place(
-    m_servers.CandidatesOf(decision.m_service, aNow), avoid, hash);
+  const auto placement =
+    m_servers.Choose(decision.m_service, avoid, hash, aNow);
   if (!placement) {
     decision.m_reason = Reason::NoServer;
     m_flows.Erase(aPacket.m_flow);
@@ -343,7 +348,9 @@
   if (m_reader.Revision() > before) {
     m_effects.LogBelief("learned_from_peer",
                         "revision=" + std::to_string(aNews.m_to) +
-                          " before=" + std::to_string(before));
+                          " before=" + std::to_string(before) + " age_ms=" +
+                          std::to_string(Milliseconds(aNews.m_age)) +
+                          m_log.TakeSummary());
   }
   ReleaseHeld(aNow);
   return outcome;
@@ -361,6 +368,12 @@
   m_reader.SetPatience(aPatience);
 }
 
+void
+TokenHost::HoldListing(base::Instant aUntil)
+{
+  m_reader.HoldListing(aUntil);
+}
+
 void
 TokenHost::OnTick(base::Instant aNow)
 {
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -77,15 +77,22 @@
                                base::Instant aNow) override;
   std::optional<registry::News> NewsSince(std::uint64_t aRevision,
                                           base::Instant aNow) const override;
+  /// See Reader::Freshness.
+  std::optional<registry::News> Freshness(base::Instant aNow) const
+  {
+    return m_reader.Freshness(aNow);
+  }
   base::Instant AnsweredAt() const override { return m_reader.AnsweredAt(); }
+  base::Instant LearnedAt() const override { return m_reader.LearnedAt(); }
   std::uint64_t Revision() const override { return m_reader.Revision(); }
   void SetPatience(base::Duration aPatience) override;
+  void HoldListing(base::Instant aUntil) override;
 
   /// Time passed. To be called a few times a second.
   void OnTick(base::Instant aNow);
 
   /// Whether the host knows enough to place flows.
-  bool IsReady() const
+  bool IsReady() const override
   {
     return m_beliefs.IsComplete() && m_reader.IsConfirmed();
   }
--- /dev/null
+++ b/tests/support/FleetStart.h
@@ -0,0 +1,41 @@
+/// A fleet of strong and weak hosts whose power comes back.
+#pragma once
+
+#include "support/FleetNet.h"
+
+namespace wasabiloom::tests {
+
+/// Zones of such a fleet.
+constexpr std::size_t kStartZones = 5;
+
+/// How long hosts of one fleet take to be ready.
+struct StartTimes
+{
+  base::Duration m_median{ 0 };
+  /// Nine tenths are ready within this.
+  base::Duration m_most{ 0 };
+  base::Duration m_slowest{ 0 };
+  /// Hosts that are up and not ready after the longest wait.
+  std::size_t m_unready = 0;
+};
+
+/// Whether a host has half a core and 200 Mbit/s, in place of 0.12 of one and
+/// 20 Mbit/s.
+bool
+IsCapable(std::size_t aHost);
+
+/// A net whose hosts are still down: one in thirteen is capable, the others
+/// are not; the registry has one link of 1,000 Mbit/s and a listing of 1,805
+/// routes and three servers for two hosts.
+std::unique_ptr<FleetNet>
+MakeStartingFleet(std::size_t aHosts, std::uint64_t aSeed);
+
+/// Starts all hosts within 0.2 s, in an order that the seed of `aNet` does not
+/// know, and waits until all that run are ready or 5 s have passed. `aOnStep`
+/// is called for each host every 10 ms.
+StartTimes
+StartAtOnce(FleetNet& aNet,
+            std::size_t aHosts,
+            const std::function<void(std::size_t)>& aOnStep = {});
+
+} // namespace wasabiloom::tests
--- a/tests/unit/BeliefsTests.cpp
+++ b/tests/unit/BeliefsTests.cpp
@@ -215,6 +215,7 @@
     there.Apply(fact, At(0));
   }
   EXPECT_EQ(there.InForce(), here.InForce());
+  EXPECT_EQ(there.WholeConfiguration(), here.WholeConfiguration());
   EXPECT_EQ(there.ServersOf("desk").size(), 1U);
   EXPECT_TRUE(there.ZoneOutSince("b"));
 }
--- a/tests/unit/FactsCodecTests.cpp
+++ b/tests/unit/FactsCodecTests.cpp
@@ -7,6 +7,7 @@
 
 namespace wasabiloom::tests {
 
+using namespace std::chrono_literals;
 using base::ResultCode;
 using registry::DecodeNews;
 using registry::EncodeNews;
@@ -23,6 +24,17 @@
            9,
            std::chrono::milliseconds(40),
            { ConfigurationFact(3, 4),
+             { registry::FactKind::Configuration,
+               "",
+               4,
+               registry::ConfigurationTerms{ 3, { { "desk", 2.5 } }, 9s } },
+             { registry::FactKind::Route,
+               "198.18.0.9:80",
+               4,
+               registry::Route{ "q",
+                                *base::ParseEndpoint("198.18.0.9:80"),
+                                { { "desk", 3 }, { "scan", 1 } } } },
+             RemovedFact(registry::FactKind::Route, "198.18.0.8:80", 4),
              ServerFact(server, 5),
              ZoneOutFact("b", 6),
              RemovedFact(registry::FactKind::Server, "i-2", 7),
--- /dev/null
+++ b/tests/unit/RouteTableTests.cpp
@@ -0,0 +1,115 @@
+#include "support/Registry.h"
+#include "support/Section.h"
+#include "wasabiloom/registry/RouteTable.h"
+
+#include <gtest/gtest.h>
+
+namespace wasabiloom::tests {
+
+using registry::Configuration;
+using registry::Outcome;
+using registry::Route;
+using registry::RouteTable;
+
+namespace {
+
+Route
+RouteAt(const std::string& aAddress, const std::string& aService = "desk")
+{
+  return { "r" + aAddress,
+           *base::ParseEndpoint(aAddress),
+           { { aService, 1 } } };
+}
+
+Configuration
+Version(std::uint64_t aVersion, std::vector<Route> aRoutes)
+{
+  return { aVersion, std::move(aRoutes), { { "desk", 0 } }, {} };
+}
+
+/// Brings what changed after `aRevision` from one table to another.
+void
+Bring(const RouteTable& aFrom, std::uint64_t aRevision, RouteTable& aTo)
+{
+  std::vector<registry::Fact> facts;
+  aFrom.AppendChanges(aRevision, facts);
+  for (const auto& fact : facts) {
+    if (const auto* terms =
+          std::get_if<registry::ConfigurationTerms>(&fact.m_content)) {
+      aTo.Adopt(*terms, fact.m_revision);
+    } else if (const auto* route = std::get_if<Route>(&fact.m_content)) {
+      aTo.Adopt(*route, fact.m_revision);
+    } else {
+      aTo.Remove(*base::ParseEndpoint(fact.m_name), fact.m_revision, At(0));
+    }
+  }
+}
+
+const Route kFirst = RouteAt("198.18.0.1:80");
+const Route kSecond = RouteAt("198.18.0.2:80");
+const Route kThird = RouteAt("198.18.0.3:80");
+
+} // namespace
+
+TEST(RouteTable, TellsOnlyWhatChanged)
+{
+  RouteTable here;
+  here.Adopt(Version(1, { kFirst, kSecond }), 10, At(0));
+  RouteTable there;
+  there.Adopt(Version(1, { kFirst, kSecond }), 10, At(0));
+  here.Adopt(Version(2, { kSecond, kThird }), 20, At(1));
+
+  std::vector<registry::Fact> facts;
+  here.AppendChanges(10, facts);
+  EXPECT_EQ(facts.size(), 3U) << "terms, a new route, one that went";
+  Bring(here, 10, there);
+  EXPECT_EQ(there.Whole(), here.Whole());
+  EXPECT_EQ(there.Find(kFirst.m_address), nullptr);
+
+  Section("and nothing to one that knows it", [&] {
+    facts.clear();
+    here.AppendChanges(20, facts);
+    EXPECT_TRUE(facts.empty());
+  });
+}
+
+TEST(RouteTable, NeverGoesBackWhoeverTells)
+{
+  RouteTable old;
+  old.Adopt(Version(1, { kFirst, kSecond }), 10, At(0));
+  RouteTable young;
+  young.Adopt(Version(1, { kFirst, kSecond }), 10, At(0));
+  const Route moved = RouteAt("198.18.0.2:80", "scan");
+  young.Adopt(Version(2, { kFirst, moved }), 20, At(1));
+  young.Adopt(Version(3, { moved, kThird }), 30, At(2));
+
+  RouteTable there;
+  Bring(young, 0, there);
+  const Configuration latest = there.Whole();
+  Bring(old, 0, there);
+  EXPECT_EQ(there.Terms().m_version, 3U);
+  EXPECT_EQ(*there.Find(moved.m_address), moved) << "parts of two tellers";
+  EXPECT_EQ(there.Adopt(Version(2, { kFirst }), 40, At(3)), Outcome::Stale);
+  EXPECT_EQ(there.Find(kFirst.m_address), nullptr);
+  EXPECT_EQ(there.Whole(), latest);
+}
+
+TEST(RouteTable, ForgetsRemovalsAndSaysSo)
+{
+  RouteTable table;
+  table.Adopt(Version(1, { kFirst, kSecond }), 10, At(0));
+  table.Adopt(Version(2, { kSecond }), 20, At(5));
+  EXPECT_EQ(table.Forget(At(5)), 0U);
+  EXPECT_EQ(table.Forget(At(6)), 20U);
+  EXPECT_EQ(table.Forget(At(7)), 0U);
+}
+
+TEST(RouteTable, LetsTheFirstOfTwoRoutesAtOneAddressCount)
+{
+  RouteTable table;
+  const Route other = RouteAt("198.18.0.1:80", "scan");
+  table.Adopt(Version(1, { kFirst, other }), 10, At(0));
+  EXPECT_EQ(*table.Find(kFirst.m_address), kFirst);
+}
+
+} // namespace wasabiloom::tests
--- /dev/null
+++ b/tests/unit/ServiceIndexTests.cpp
@@ -0,0 +1,86 @@
+#include "support/Registry.h"
+#include "wasabiloom/registry/ServiceIndex.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace wasabiloom::tests {
+
+using registry::ServerBelief;
+using registry::ServiceIndex;
+
+namespace {
+
+std::set<const ServerBelief*>
+Listed(const ServiceIndex& aIndex, std::string_view aService)
+{
+  const auto servers = aIndex.All(aService);
+  return { servers.begin(), servers.end() };
+}
+
+} // namespace
+
+TEST(ServiceIndex, ListsEachServerOnceUnderItsService)
+{
+  ServiceIndex index;
+  const std::vector<ServerBelief> servers(4);
+  for (const ServerBelief& server : servers) {
+    index.Add("desk", "a", server);
+    index.Add("desk", "a", server);
+  }
+  EXPECT_EQ(index.All("desk").size(), 4U);
+  index.Add("scan", "b", servers[1]);
+  EXPECT_EQ(Listed(index, "scan"), std::set{ &servers[1] });
+  index.Remove(servers[0]);
+  index.Remove(servers[0]);
+  EXPECT_EQ(Listed(index, "desk"), (std::set{ &servers[2], &servers[3] }));
+  index.Remove(servers[3]);
+  index.Add("desk", "b", servers[0]);
+  EXPECT_EQ(Listed(index, "desk"), (std::set{ &servers[2], &servers[0] }));
+  EXPECT_TRUE(index.All("none").empty());
+}
+
+TEST(ServiceIndex, DrawsDifferentServersNearOnesFirst)
+{
+  constexpr std::size_t kZone = 50;
+  ServiceIndex index;
+  const std::vector<ServerBelief> servers(3 * kZone);
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    index.Add(
+      "desk", std::string(1, static_cast<char>('a' + i / kZone)), servers[i]);
+  }
+  ServiceIndex::Servers drawn;
+  std::set<const ServerBelief*> seen;
+  for (std::uint64_t hash = 0; hash < 1000; ++hash) {
+    index.Draw("desk", "b", {}, hash, drawn);
+    ASSERT_EQ(drawn.size(), registry::DrawSize{}.m_all);
+    const std::set<const ServerBelief*> different(drawn.begin(), drawn.end());
+    ASSERT_EQ(different.size(), drawn.size());
+    const auto near = std::ranges::count_if(drawn, [&](const auto* aServer) {
+      return aServer >= &servers[kZone] && aServer < &servers[2 * kZone];
+    });
+    ASSERT_EQ(near, 16);
+    seen.insert(drawn.begin(), drawn.end());
+  }
+  EXPECT_EQ(seen.size(), servers.size()) << "each has its turn";
+}
+
+TEST(ServiceIndex, DrawsAllOfAFew)
+{
+  ServiceIndex index;
+  const std::vector<ServerBelief> servers(24);
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    index.Add("desk", i < 20 ? "a" : "b", servers[i]);
+  }
+  ServiceIndex::Servers drawn;
+  for (const char* zone : { "a", "b", "c" }) {
+    index.Draw("desk", zone, {}, 7, drawn);
+    EXPECT_EQ(drawn.size(), servers.size()) << zone;
+  }
+  index.Draw("none", "a", {}, 7, drawn);
+  EXPECT_TRUE(drawn.empty());
+}
+
+} // namespace wasabiloom::tests
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -72,6 +72,11 @@
                  const std::string& /*aDetail*/) override
   {
   }
+  void LogDetail(std::string_view /*aWhat*/,
+                 const std::string& /*aDetail*/) override
+  {
+  }
+  bool LogsDetails() const override { return false; }
 
   std::vector<Endpoint> m_to;
   std::vector<std::byte> m_bytes;
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -7,7 +7,7 @@
   qt6-base-dev libgrpc++-dev libprotobuf-dev protobuf-compiler
   protobuf-compiler-grpc prometheus-cpp-dev libboost1.81-dev
   libboost-program-options1.81-dev liblog4cxx-dev nlohmann-json3-dev
-  libxxhash-dev libsodium-dev librapidcheck-dev libtins-dev
+  libxxhash-dev libzstd-dev libsodium-dev librapidcheck-dev libtins-dev
   libgtest-dev libgmock-dev libbenchmark-dev clang-format clang-tidy
 )
 missing=()
