An entry unchanged for one host may have been another for a second one

A host that heard only the end of it from a peer held the entry for unchanged and left it out of what it told on; a host that had heard of the lapse kept it, and reset the server's flows. Only changes that the registry itself told, one after another, may count as nothing new (registry::Origin); same for routes of versions not seen. Tests fail with the rule taken out, pass with it.

Relays are drawn by the root of capacity.

The log keeps to log_kb_per_s. Ruled out: a change of routes or a lost pull (both arrived).

--- a/src/wasabiloom/daemon/LineBuffer.cpp
+++ b/src/wasabiloom/daemon/LineBuffer.cpp
@@ -26,13 +26,38 @@
 {
 }
 
+void
+LineBuffer::SetAllowance(std::int64_t aBytesPerSecond)
+{
+  if (aBytesPerSecond == m_bytesPerSecond) {
+    return;
+  }
+  m_bytesPerSecond = aBytesPerSecond;
+  m_allowance.reset();
+  if (aBytesPerSecond > 0) {
+    m_allowance.emplace(aBytesPerSecond, aBytesPerSecond * kAllowanceBurstS);
+  }
+}
+
+void
+LineBuffer::Refill(base::Instant aNow)
+{
+  if (m_allowance) {
+    m_allowance->Refill(aNow);
+  }
+}
+
 void
 LineBuffer::Append(std::string_view aLine)
 {
-  if (m_waiting.size() + aLine.size() > kMaxWaitingBytes) {
+  const bool isSpent = m_allowance && m_allowance->Level() <= 0;
+  if (isSpent || m_waiting.size() + aLine.size() > kMaxWaitingBytes) {
     ++m_dropped;
     return;
   }
+  if (m_allowance) {
+    m_allowance->Spend(static_cast<std::int64_t>(aLine.size()) + 1);
+  }
   if (m_dropped > m_reported) {
     m_waiting += "event=log_lines_dropped total=" + std::to_string(m_dropped);
     m_waiting += '\n';
--- a/src/wasabiloom/daemon/TokenHostProgram.cpp
+++ b/src/wasabiloom/daemon/TokenHostProgram.cpp
@@ -40,6 +40,7 @@
 {
   LineBuffer log(STDOUT_FILENO);
   SetUpBufferedLog(aSettings.m_logLevel, log);
+  log.SetAllowance(aSettings.m_logBytesPerSecond);
   LogLine(LogLevel::Info,
           "host",
           "event=started host=" + aSettings.m_name + " zone=" +
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -108,11 +108,13 @@
   changed.m_stopGrace = aSettings.m_stopGrace;
   changed.m_peers = aSettings.m_peers;
   changed.m_logLevel = aSettings.m_logLevel;
+  changed.m_logBytesPerSecond = aSettings.m_logBytesPerSecond;
   const bool isWhole = changed == aSettings;
   m_settings = changed;
   m_fleet.Reload(m_settings);
   m_host.SetZoneOutGrace(IdentityOf(m_settings).m_zoneOutGrace);
   SetUpBufferedLog(m_settings.m_logLevel, m_log);
+  m_log.SetAllowance(m_settings.m_logBytesPerSecond);
   LogLine(isWhole ? LogLevel::Info : LogLevel::Warn,
           "host",
           std::string("event=reloaded whole=") + (isWhole ? "1" : "0"));
@@ -168,6 +170,7 @@
   if (m_onStopped) {
     ContinueLeave(now);
   }
+  m_log.Refill(now);
   m_log.Flush();
 }
 
--- a/src/wasabiloom/fleet/FactRelay.cpp
+++ b/src/wasabiloom/fleet/FactRelay.cpp
@@ -114,8 +114,9 @@
   std::vector<std::pair<double, base::Ipv4Address>> drawn;
   drawn.reserve(aMembers.size());
   for (const Member* member : aMembers) {
+    // By the root, or the few capable hosts would send nearly all.
     std::exponential_distribution<double> wait(
-      std::max<std::uint32_t>(member->m_capacity, 1));
+      std::sqrt(std::max<std::uint32_t>(member->m_capacity, 1)));
     drawn.emplace_back(wait(m_random), member->m_address);
   }
   std::ranges::sort(drawn);
--- a/src/wasabiloom/peer/SendBudget.h
+++ b/src/wasabiloom/peer/SendBudget.h
@@ -1,7 +1,7 @@
 /// Limits the control bytes that a host sends of its own accord.
 #pragma once
 
-#include "wasabiloom/base/Time.h"
+#include "wasabiloom/base/TokenBucket.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -14,7 +14,7 @@
 {
 public:
   /// Adds what has accrued until `aNow`.
-  void Refill(base::Instant aNow);
+  void Refill(base::Instant aNow) { m_bucket.Refill(aNow); }
 
   /// Bytes that may be sent now; 0 while in debt.
   std::size_t Available() const;
@@ -27,12 +27,11 @@
   void Spend(std::size_t aBytes);
 
 private:
-  std::int64_t m_bytes = kBurstBytes;
-  base::Instant m_refilledAt;
-
   static constexpr std::int64_t kBytesPerSecond = 400;
   static constexpr std::int64_t kBurstBytes = 3000;
   static constexpr std::int64_t kReserveBytes = 1000;
+
+  base::TokenBucket m_bucket{ kBytesPerSecond, kBurstBytes };
 };
 
 } // namespace wasabiloom::peer
--- a/src/wasabiloom/registry/Beliefs.cpp
+++ b/src/wasabiloom/registry/Beliefs.cpp
@@ -15,7 +15,9 @@
 }
 
 /// Whether the entry `aServer` says nothing that is not believed already: a
-/// cold server renews its entry all the time, as what remains shrinks.
+/// cold server renews its entry all the time, as what remains shrinks. Entries
+/// are read some time after they were written, so each only says that the
+/// server is warm by then at the latest.
 bool
 SaysTheSame(const ServerBelief& aBelief,
             const Server& aServer,
@@ -23,12 +25,13 @@
 {
   Server known = aBelief.m_server;
   known.m_coldFor = aServer.m_coldFor;
-  const base::Instant coldBefore = std::max(aBelief.m_coldUntil, aNow);
-  const base::Instant coldNow = aNow + aServer.m_coldFor;
-  const base::Duration apart =
-    std::max(coldBefore, coldNow) - std::min(coldBefore, coldNow);
+  const bool wasCold = aNow < aBelief.m_coldUntil;
+  const bool isCold = aServer.m_coldFor > base::Duration::zero();
+  const bool isColdAgain =
+    isCold &&
+    (!wasCold || aNow + aServer.m_coldFor > aBelief.m_coldUntil + kSameCold);
   return aBelief.m_presence == Presence::Listed && known == aServer &&
-         apart <= kSameCold;
+         !isColdAgain;
 }
 
 } // namespace
@@ -60,15 +63,15 @@
 Beliefs::~Beliefs() = default;
 
 Outcome
-Beliefs::Apply(const Fact& aFact, base::Instant aNow)
+Beliefs::Apply(const Fact& aFact, base::Instant aNow, Origin aOrigin)
 {
   switch (aFact.m_kind) {
     case FactKind::Configuration:
-      return ApplyConfiguration(aFact, aNow);
+      return ApplyConfiguration(aFact, aNow, aOrigin);
     case FactKind::Route:
-      return ApplyRoute(aFact, aNow);
+      return ApplyRoute(aFact, aNow, aOrigin);
     case FactKind::Server:
-      return ApplyServer(aFact, aNow);
+      return ApplyServer(aFact, aNow, aOrigin);
     case FactKind::ZoneOut:
       return ApplyZone(aFact, aNow);
     case FactKind::Other:
@@ -78,10 +81,12 @@
 }
 
 Outcome
-Beliefs::ApplyConfiguration(const Fact& aFact, base::Instant aNow)
+Beliefs::ApplyConfiguration(const Fact& aFact,
+                            base::Instant aNow,
+                            Origin aOrigin)
 {
   if (const auto* whole = std::get_if<Configuration>(&aFact.m_content)) {
-    return m_routes.Adopt(*whole, aFact.m_revision, aNow);
+    return m_routes.Adopt(*whole, aFact.m_revision, aOrigin, aNow);
   }
   if (const auto* terms = std::get_if<ConfigurationTerms>(&aFact.m_content)) {
     return m_routes.Adopt(*terms, aFact.m_revision);
@@ -90,10 +95,10 @@
 }
 
 Outcome
-Beliefs::ApplyRoute(const Fact& aFact, base::Instant aNow)
+Beliefs::ApplyRoute(const Fact& aFact, base::Instant aNow, Origin aOrigin)
 {
   if (const auto* route = std::get_if<Route>(&aFact.m_content)) {
-    return m_routes.Adopt(*route, aFact.m_revision);
+    return m_routes.Adopt(*route, aFact.m_revision, aOrigin);
   }
   const auto address = base::ParseEndpoint(aFact.m_name);
   if (!address || !std::holds_alternative<Removed>(aFact.m_content)) {
@@ -103,7 +108,7 @@
 }
 
 Outcome
-Beliefs::ApplyServer(const Fact& aFact, base::Instant aNow)
+Beliefs::ApplyServer(const Fact& aFact, base::Instant aNow, Origin aOrigin)
 {
   const auto known = m_byId.find(aFact.m_name);
   ServerBelief* belief = known == m_byId.end() ? nullptr : known->second;
@@ -112,7 +117,7 @@
                                                   : Outcome::Stale;
   }
   if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
-    return ApplyEntry(*server, aFact.m_revision, belief, aNow);
+    return ApplyEntry(*server, aFact.m_revision, belief, aNow, aOrigin);
   }
   if (belief != nullptr) {
     return RemoveServer(*belief, aFact.m_revision, aNow);
@@ -125,10 +130,17 @@
 Beliefs::ApplyEntry(const Server& aServer,
                     std::uint64_t aRevision,
                     ServerBelief* aKnown,
-                    base::Instant aNow)
+                    base::Instant aNow,
+                    Origin aOrigin)
 {
   if (aKnown != nullptr && SaysTheSame(*aKnown, aServer, aNow)) {
     aKnown->m_revision = aRevision;
+    if (aOrigin != Origin::Watch) {
+      // It may have been another between the two entries, and others know it.
+      aKnown->m_changeRevision = aRevision;
+    }
+    aKnown->m_coldUntil =
+      std::min(aKnown->m_coldUntil, aNow + aServer.m_coldFor);
     return Outcome::Unchanged;
   }
   ServerBelief* belief = aKnown;
--- a/src/wasabiloom/registry/Beliefs.h
+++ b/src/wasabiloom/registry/Beliefs.h
@@ -60,9 +60,10 @@
 /// How long a start that is gone keeps its token.
 constexpr base::Duration kForgetAfter = std::chrono::seconds(75);
 
-/// Two entries of a server that is cold say the same when they differ by less
-/// in how long it stays so.
-constexpr base::Duration kSameCold = std::chrono::milliseconds(400);
+/// A cold server is cold anew only when its entry says that it stays so for
+/// longer than was believed by more than this: entries are written every
+/// second or so, and read later.
+constexpr base::Duration kSameCold = std::chrono::milliseconds(1500);
 
 /// Facts in force on this host. Never goes back to an older revision of a
 /// fact, nor to an older version of the configuration. One thread at a time.
@@ -74,8 +75,11 @@
   Beliefs(const Beliefs&) = delete;
   Beliefs& operator=(const Beliefs&) = delete;
 
-  /// Takes in one fact.
-  Outcome Apply(const Fact& aFact, base::Instant aNow);
+  /// Takes in one fact. Only one that `aOrigin` says to be a change after all
+  /// others seen can be known to say nothing new to other hosts.
+  Outcome Apply(const Fact& aFact,
+                base::Instant aNow,
+                Origin aOrigin = Origin::Peer);
 
   /// Ends a listing that began at `aRevision` and found `aFound`: whatever
   /// was believed at that revision and was not found is removed.
@@ -131,13 +135,16 @@
     std::uint64_t m_revision = 0;
   };
 
-  Outcome ApplyConfiguration(const Fact& aFact, base::Instant aNow);
-  Outcome ApplyRoute(const Fact& aFact, base::Instant aNow);
-  Outcome ApplyServer(const Fact& aFact, base::Instant aNow);
+  Outcome ApplyConfiguration(const Fact& aFact,
+                             base::Instant aNow,
+                             Origin aOrigin);
+  Outcome ApplyRoute(const Fact& aFact, base::Instant aNow, Origin aOrigin);
+  Outcome ApplyServer(const Fact& aFact, base::Instant aNow, Origin aOrigin);
   Outcome ApplyEntry(const Server& aServer,
                      std::uint64_t aRevision,
                      ServerBelief* aKnown,
-                     base::Instant aNow);
+                     base::Instant aNow,
+                     Origin aOrigin);
   Outcome ApplyZone(const Fact& aFact, base::Instant aNow);
   Outcome RemoveServer(ServerBelief& aBelief,
                        std::uint64_t aRevision,
--- a/src/wasabiloom/registry/Facts.h
+++ b/src/wasabiloom/registry/Facts.h
@@ -132,6 +132,18 @@
                                  Unusable,
                                  Removed>;
 
+/// Where a fact came from.
+enum class Origin : std::uint8_t
+{
+  /// One of many that were there before this host; what they replaced may
+  /// never have been seen here.
+  Listing,
+  /// A change that the registry told this host, which saw every one before.
+  Watch,
+  /// Another host; changes in between may have been left out.
+  Peer,
+};
+
 /// One published value, or its removal.
 struct Fact
 {
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -193,7 +193,7 @@
              base::Instant aNow)
 {
   for (const Fact& fact : aFacts) {
-    m_events.OnFact(fact, m_beliefs.Apply(fact, aNow), aOrigin);
+    m_events.OnFact(fact, m_beliefs.Apply(fact, aNow, aOrigin), aOrigin);
   }
 }
 
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -46,17 +46,6 @@
   base::Duration m_timeout{ 0 };
 };
 
-/// Where a fact came from.
-enum class Origin : std::uint8_t
-{
-  /// One of many that were there before this host.
-  Listing,
-  /// A change that the registry told this host.
-  Watch,
-  /// Another host.
-  Peer,
-};
-
 /// What the reader tells of itself.
 class ReaderEvents
 {
--- a/src/wasabiloom/registry/RouteTable.cpp
+++ b/src/wasabiloom/registry/RouteTable.cpp
@@ -36,6 +36,7 @@
 Outcome
 RouteTable::Adopt(const Configuration& aConfiguration,
                   std::uint64_t aRevision,
+                  Origin aOrigin,
                   base::Instant aNow)
 {
   const Outcome outcome = Adopt({ aConfiguration.m_version,
@@ -50,7 +51,7 @@
   for (const Route& route : aConfiguration.m_routes) {
     // Of two routes at one address the first counts.
     if (named.insert(base::Pack(route.m_address)).second) {
-      Adopt(route, aRevision);
+      Adopt(route, aRevision, aOrigin);
     }
   }
   for (const auto& [address, entry] : m_entries) {
@@ -62,7 +63,7 @@
 }
 
 Outcome
-RouteTable::Adopt(const Route& aRoute, std::uint64_t aRevision)
+RouteTable::Adopt(const Route& aRoute, std::uint64_t aRevision, Origin aOrigin)
 {
   const auto [slot, isNew] =
     m_entries.try_emplace(base::Pack(aRoute.m_address));
@@ -71,6 +72,9 @@
     return Outcome::Stale;
   }
   if (!isNew && !entry.m_removed && entry.m_route == aRoute) {
+    if (aOrigin != Origin::Watch) {
+      entry.m_revision = aRevision;
+    }
     return Outcome::Unchanged;
   }
   m_removed -= entry.m_removed ? 1 : 0;
--- a/src/wasabiloom/registry/RouteTable.h
+++ b/src/wasabiloom/registry/RouteTable.h
@@ -30,16 +30,19 @@
 class RouteTable
 {
 public:
-  /// Adopts a whole version that was published at `aRevision`.
+  /// Adopts a whole version that was published at `aRevision`. A route that
+  /// stays as it was counts as changed unless `aOrigin` is Watch: in a version
+  /// that was not seen it may have been another.
   Outcome Adopt(const Configuration& aConfiguration,
                 std::uint64_t aRevision,
+                Origin aOrigin,
                 base::Instant aNow);
 
   /// Adopts a version whose changed routes come one by one.
   Outcome Adopt(const ConfigurationTerms& aTerms, std::uint64_t aRevision);
 
   /// Adopts one route, or its removal, that changed at `aRevision`.
-  Outcome Adopt(const Route& aRoute, std::uint64_t aRevision);
+  Outcome Adopt(const Route& aRoute, std::uint64_t aRevision, Origin aOrigin);
   Outcome Remove(const base::Endpoint& aAddress,
                  std::uint64_t aRevision,
                  base::Instant aNow);
--- a/src/wasabiloom/settings/TokenHostSettings.cpp
+++ b/src/wasabiloom/settings/TokenHostSettings.cpp
@@ -25,6 +25,9 @@
 constexpr double kMaxLinkMbps = 1'000'000;
 constexpr double kDefaultLinkMbps = 1000;
 constexpr double kMaxCores = 1024;
+constexpr std::int64_t kMaxLogKilobytes = 1'000'000;
+constexpr std::int64_t kDefaultLogKilobytes = 64;
+constexpr std::int64_t kBytesAKilobyte = 1000;
 
 base::Duration
 Milliseconds(double aCount)
@@ -120,6 +123,10 @@
   BOOST_LEAF_CHECK(ReadNumbers(reader, settings));
   BOOST_LEAF_AUTO(level, reader.ChoiceOrFirst("log_level", kLogLevels));
   settings.m_logLevel = kLogLevels.at(level);
+  BOOST_LEAF_AUTO(logKilobytes,
+                  reader.IntegerOr(
+                    "log_kb_per_s", 0, kMaxLogKilobytes, kDefaultLogKilobytes));
+  settings.m_logBytesPerSecond = logKilobytes * kBytesAKilobyte;
   BOOST_LEAF_CHECK(reader.Finish());
   BOOST_LEAF_CHECK(CheckPorts(root, settings));
   return settings;
--- a/src/wasabiloom/settings/TokenHostSettings.h
+++ b/src/wasabiloom/settings/TokenHostSettings.h
@@ -43,6 +43,8 @@
   double m_linkMbps = 0;
   double m_cores = 0;
   std::string m_logLevel;
+  /// Bytes of log that the host writes in the long run; 0 for no limit.
+  std::int64_t m_logBytesPerSecond = 0;
 
   friend auto operator<=>(const TokenHostSettings&,
                           const TokenHostSettings&) = default;
--- a/tests/support/FleetStart.h
+++ b/tests/support/FleetStart.h
@@ -37,6 +37,8 @@
   FewAnswered,
   /// The seeds stand still.
   SeedsFreeze,
+  /// The seeds start 0.3 s after the others.
+  SeedsLate,
 };
 
 /// Name of `aTrouble` for tables.
@@ -48,6 +50,10 @@
 bool
 IsCapable(std::size_t aHost);
 
+/// Links and cores of `aHosts` hosts, some capable; no limit at the registry.
+FleetLinks
+LinksOf(std::size_t aHosts);
+
 /// A net whose hosts are still down: one in thirteen is capable, the others
 /// are not; the registry has one link of 1,000 Mbit/s and a listing of 1,805
 /// routes and three servers for two hosts.
--- a/tests/unit/FactRelayTests.cpp
+++ b/tests/unit/FactRelayTests.cpp
@@ -1,8 +1,11 @@
 #include "support/FleetNet.h"
+#include "support/FleetStart.h"
 #include "support/Section.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace wasabiloom::tests {
 
 using namespace std::chrono_literals;
@@ -134,4 +137,50 @@
   });
 }
 
+TEST(FactRelay, KeepsUpWithServersThatRenewTheirEntries)
+{
+  constexpr std::size_t kMany = 300;
+  constexpr std::size_t kServers = 3000;
+  constexpr std::size_t kParts = 12;
+  constexpr base::Duration kVersionWithin = 2s;
+  constexpr double kOfTheMiddle = 5;
+  // The broken day of the users' sweep: all servers are cold and renew their
+  // entries every 1.2 s, a version comes every few seconds.
+  FleetLinks links = LinksOf(kMany);
+  links.m_listing = 400.0 * kServers;
+  FleetNet net(kMany, kZones, 4, true, links);
+  net.EnterServers(kServers, 30s);
+  net.RunFor(6s);
+  std::vector<double> before;
+  for (std::size_t i = 0; i < kMany; ++i) {
+    before.push_back(net.BytesOf(i).m_sent);
+  }
+  base::Duration slowest{ 0 };
+  for (int version = 0; version < 5; ++version) {
+    net.Publish();
+    const base::Instant published = net.Now();
+    for (std::size_t step = 0; step < 3 * kParts; ++step) {
+      const std::size_t part = step % kParts;
+      net.RenewEntries(part * kServers / kParts,
+                       (part + 1) * kServers / kParts);
+      net.RunFor(100ms);
+      for (std::size_t i = 0; i < kMany; ++i) {
+        if (net.VersionOf(i) < net.LatestVersion()) {
+          slowest = std::max(slowest, net.Now() - published);
+        }
+      }
+    }
+  }
+  EXPECT_LE(slowest, kVersionWithin);
+
+  Section("and no host sends many times what others send", [&] {
+    std::vector<double> sent;
+    for (std::size_t i = 0; i < kMany; ++i) {
+      sent.push_back(net.BytesOf(i).m_sent - before[i]);
+    }
+    std::ranges::sort(sent);
+    EXPECT_LE(sent.back(), kOfTheMiddle * sent[kMany / 2]);
+  });
+}
+
 } // namespace wasabiloom::tests
--- a/tests/unit/FleetStartTests.cpp
+++ b/tests/unit/FleetStartTests.cpp
@@ -19,6 +19,9 @@
 /// latest; its link then takes a third of a second.
 constexpr base::Duration kAlone = 1s;
 
+/// The seeds start so long after the others.
+constexpr base::Duration kSeedsLate = 300ms;
+
 /// Calls that time out come before those that find one who was answered.
 constexpr base::Duration kFewAnswered = 2s;
 
@@ -65,6 +68,9 @@
   Section("few whom the registry answers are enough", [&] {
     EXPECT_LE(start(StartTrouble::FewAnswered).m_slowest, kFewAnswered);
   });
+  Section("seeds that start late are told of tellers at once", [&] {
+    EXPECT_LE(start(StartTrouble::SeedsLate).m_slowest, kSeedsLate + kAll);
+  });
   Section("without seeds each lists for itself", [&] {
     EXPECT_LE(start(StartTrouble::SeedsFreeze).m_slowest, kAllAlone);
   });
--- a/tests/unit/LineBufferTests.cpp
+++ b/tests/unit/LineBufferTests.cpp
@@ -1,3 +1,5 @@
+#include "support/Registry.h"
+#include "support/Section.h"
 #include "wasabiloom/daemon/LineBuffer.h"
 
 #include <gmock/gmock.h>
@@ -83,4 +85,35 @@
   EXPECT_THAT(text, HasSubstr("\nafter\n"));
 }
 
+TEST(LineBuffer, KeepsToItsAllowance)
+{
+  constexpr std::int64_t kPerSecond = 1000;
+  const Pipe pipe;
+  LineBuffer buffer(pipe.Writer());
+  buffer.SetAllowance(kPerSecond);
+  const std::string line(99, 'x');
+  for (int i = 0; i < 1000; ++i) {
+    buffer.Append(line);
+  }
+  buffer.Flush();
+  EXPECT_EQ(pipe.ReadAll().size(), kPerSecond * daemon::kAllowanceBurstS);
+  EXPECT_EQ(buffer.Dropped(), 900U);
+
+  Section("more follows as time passes, and says what is missing", [&] {
+    buffer.Refill(At(0));
+    buffer.Refill(At(1));
+    buffer.Append(line);
+    buffer.Flush();
+    EXPECT_THAT(pipe.ReadAll(),
+                StartsWith("event=log_lines_dropped total=900"));
+  });
+  Section("no limit is a choice", [&] {
+    buffer.SetAllowance(0);
+    for (int i = 0; i < 1000; ++i) {
+      buffer.Append(line);
+    }
+    EXPECT_EQ(buffer.Dropped(), 900U);
+  });
+}
+
 } // namespace wasabiloom::tests
--- a/tests/unit/RosterTests.cpp
+++ b/tests/unit/RosterTests.cpp
@@ -91,6 +91,23 @@
   });
 }
 
+TEST(Roster, OutlivesAPauseOfAll)
+{
+  constexpr std::size_t kHosts = 232;
+  FleetNet net(kHosts, 5, 8);
+  net.RunFor(5s);
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    net.Freeze(i);
+  }
+  net.RunFor(6s);
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    net.Thaw(i);
+  }
+  net.RunFor(10s);
+  EXPECT_EQ(net.FalseDepartures(), 0U);
+  EXPECT_EQ(CountIgnorant(net, kHosts, kHosts), 0U);
+}
+
 TEST(Roster, HealsAfterAPartition)
 {
   FleetNet net(36, 3, 5);
