--- a/src/wasabiloom/base/Time.h
+++ b/src/wasabiloom/base/Time.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace wasabiloom::base {
 
@@ -21,4 +22,11 @@
 /// Point on the driver's monotonic clock.
 using Instant = MonotonicClock::time_point;
 
+/// Whole milliseconds of `aSpan`. Thread safe.
+inline std::int64_t
+Milliseconds(Duration aSpan)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
+}
+
 } // namespace wasabiloom::base
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -45,12 +45,6 @@
            aSettings.m_zoneOut * kBoundUsed / kBoundParts };
 }
 
-std::int64_t
-Milliseconds(base::Duration aSpan)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
-}
-
 } // namespace
 
 TokenHostTask::TokenHostTask(const settings::TokenHostSettings& aSettings,
@@ -140,7 +134,8 @@
   if (late || (since > kLeaveAtLeast && quiet)) {
     LogLine(LogLevel::Info,
             "host",
-            "event=stopped after_ms=" + std::to_string(Milliseconds(since)));
+            "event=stopped after_ms=" +
+              std::to_string(base::Milliseconds(since)));
     const auto onStopped = std::move(m_onStopped);
     m_onStopped = nullptr;
     onStopped();
@@ -222,7 +217,7 @@
   LogLine(LogLevel::Info,
           "host",
           "event=ready after_ms=" +
-            std::to_string(Milliseconds(Now() - m_startedAt)));
+            std::to_string(base::Milliseconds(Now() - m_startedAt)));
 }
 
 HttpReply
@@ -269,7 +264,7 @@
   line += " copy=" + std::to_string(aDecision.m_copy);
   line += " version=" + std::to_string(aDecision.m_version);
   line += " revision=" + std::to_string(aDecision.m_revision);
-  line += " age_ms=" + std::to_string(Milliseconds(aDecision.m_age));
+  line += " age_ms=" + std::to_string(base::Milliseconds(aDecision.m_age));
   LogLine(LogLevel::Info, "flow", line);
 }
 
--- a/src/wasabiloom/fleet/Roster.cpp
+++ b/src/wasabiloom/fleet/Roster.cpp
@@ -1,10 +1,7 @@
 #include "wasabiloom/fleet/Roster.h"
 
-#include "wasabiloom/base/Hash.h"
-
 #include <algorithm>
 #include <bit>
-#include <tuple>
 
 namespace wasabiloom::fleet {
 
@@ -24,13 +21,6 @@
 /// Members that are told of a departure at once.
 constexpr std::size_t kFarewells = 6;
 
-/// Orders members by capacity, the largest first, then by a hash.
-auto
-RankKey(const Member& aMember)
-{
-  return std::tuple(~aMember.m_capacity, base::Mix(aMember.m_address.m_bits));
-}
-
 } // namespace
 
 RosterOutbox::~RosterOutbox() = default;
@@ -68,7 +58,7 @@
   for (const Member& member : aMessage.m_updates) {
     Learn(member, isRoll ? 0 : kRidesOfArrival, aNow);
   }
-  ReindexIfChanged();
+  Reindex();
   OnContent(aMessage, aNow);
 }
 
@@ -210,7 +200,7 @@
   if (m_leaving) {
     return;
   }
-  if (m_live.empty()) {
+  if (m_index.All().empty()) {
     CallSeeds(aNow);
   }
   if (m_probe && !m_probe->m_helped &&
@@ -225,7 +215,7 @@
     Revive(aNow);
   }
   Expire(aNow);
-  ReindexIfChanged();
+  Reindex();
 }
 
 void
@@ -245,7 +235,7 @@
   Member accused = known->second.m_member;
   accused.m_standing = Standing::Suspect;
   Learn(accused, 0, aNow);
-  ReindexIfChanged();
+  Reindex();
   SendProbe(target, false);
 }
 
@@ -253,7 +243,7 @@
 Roster::BeginProbe(base::Instant aNow)
 {
   m_probedAt = aNow;
-  if (m_live.empty()) {
+  if (m_index.All().empty()) {
     return;
   }
   const bool wantsAll = aNow - m_wholeAt >= m_wholePause;
@@ -263,7 +253,7 @@
     m_wholePause = std::min(
       2 * m_wholePause,
       std::max(kWholeInterval,
-               kWholeIntervalAMember * static_cast<int>(m_live.size())));
+               kWholeIntervalAMember * static_cast<int>(m_index.All().size())));
   }
   const base::Ipv4Address target = NextTarget();
   if (wantsAll && isStart) {
@@ -277,17 +267,18 @@
 Roster::NextTarget()
 {
   ++m_probes;
-  const bool far = m_probes % kProbesAFarOne == 0 || m_zonePeers.empty();
-  return far && !m_farPeers.empty() ? m_farRound.Next(m_farPeers, m_random)
-                                    : m_nearRound.Next(m_zonePeers, m_random);
+  const bool far = m_probes % kProbesAFarOne == 0 || m_index.Near().empty();
+  return far && !m_index.Far().empty()
+           ? m_farRound.Next(m_index.Far(), m_random)
+           : m_nearRound.Next(m_index.Near(), m_random);
 }
 
 void
 Roster::AskHelpers()
 {
   m_probe->m_helped = true;
-  for (std::size_t i = 0; i < kHelpers && m_live.size() > 1; ++i) {
-    const base::Ipv4Address helper = m_live[Draw(m_live.size())];
+  for (std::size_t i = 0; i < kHelpers && m_index.All().size() > 1; ++i) {
+    const base::Ipv4Address helper = m_index.All()[Draw(m_index.All().size())];
     if (helper != m_probe->m_target) {
       m_outbox.SendTo(
         helper,
@@ -317,7 +308,7 @@
   m_revivedAt = aNow;
   std::vector<base::Ipv4Address> away;
   for (const base::Ipv4Address seed : m_seeds) {
-    if (!std::ranges::binary_search(m_live, seed)) {
+    if (!std::ranges::binary_search(m_index.All(), seed)) {
       away.push_back(seed);
     }
   }
@@ -338,8 +329,9 @@
     return;
   }
   m_expiredAt = aNow;
-  const int doublings = std::max<int>(
-    kSuspicionDoublings, static_cast<int>(std::bit_width(m_live.size())));
+  const int doublings =
+    std::max<int>(kSuspicionDoublings,
+                  static_cast<int>(std::bit_width(m_index.All().size())));
   const base::Duration patience =
     kSuspicionTime * doublings / kSuspicionDoublings;
   std::vector<Member> silent;
@@ -363,54 +355,21 @@
   });
 }
 
-void
-Roster::ReindexIfChanged()
-{
-  if (m_changed) {
-    m_changed = false;
-    Reindex();
-  }
-}
-
 void
 Roster::Reindex()
 {
-  m_live.clear();
-  m_zonePeers.clear();
-  m_farPeers.clear();
-  m_byZone.clear();
-  for (const auto& [address, entry] : m_entries) {
-    if (entry.m_member.m_standing == Standing::Gone) {
-      continue;
-    }
-    m_live.push_back(address);
-    m_byZone[entry.m_member.m_zone].push_back(&entry.m_member);
-    const bool isNear = entry.m_member.m_zone == m_self.m_zone;
-    (isNear ? m_zonePeers : m_farPeers).push_back(address);
+  if (!m_changed) {
+    return;
   }
-  Rank();
-}
-
-void
-Roster::Rank()
-{
-  m_rank = 0;
-  m_fleetRank = 0;
-  m_zonesBefore = 0;
-  const auto own = RankKey(m_self);
-  auto firstOfZone = own;
-  for (const Member* peer : m_byZone[m_self.m_zone]) {
-    firstOfZone = std::min(firstOfZone, RankKey(*peer));
-    m_rank += RankKey(*peer) < own ? 1 : 0;
-  }
-  for (const auto& [zone, members] : m_byZone) {
-    bool isBefore = false;
-    for (const Member* member : members) {
-      m_fleetRank += RankKey(*member) < own ? 1 : 0;
-      isBefore |= RankKey(*member) < firstOfZone;
+  m_changed = false;
+  std::vector<const Member*> live;
+  live.reserve(m_entries.size());
+  for (const auto& [address, entry] : m_entries) {
+    if (entry.m_member.m_standing != Standing::Gone) {
+      live.push_back(&entry.m_member);
     }
-    m_zonesBefore += isBefore ? 1 : 0;
   }
+  m_index.Build(m_self, live);
 }
 
 void
@@ -418,7 +377,7 @@
 {
   m_leaving = true;
   m_self.m_standing = Standing::Gone;
-  std::vector<base::Ipv4Address> told = m_zonePeers;
+  std::vector<base::Ipv4Address> told = m_index.Near();
   std::ranges::shuffle(told, m_random);
   told.resize(std::min(told.size(), kFarewells));
   for (const base::Ipv4Address peer : told) {
--- a/src/wasabiloom/fleet/Roster.h
+++ b/src/wasabiloom/fleet/Roster.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wasabiloom/base/Time.h"
+#include "wasabiloom/fleet/LiveIndex.h"
 #include "wasabiloom/fleet/Message.h"
 #include "wasabiloom/fleet/ProbeRound.h"
 #include "wasabiloom/fleet/UpdateQueue.h"
@@ -11,7 +12,6 @@
 #include <optional>
 #include <random>
 #include <span>
-#include <string>
 #include <vector>
 
 namespace wasabiloom::fleet {
@@ -97,21 +97,18 @@
   /// Place of this host among the members that are not gone, of its zone or
   /// of all zones, in an order on which all hosts that know the same members
   /// agree: the most capable first.
-  std::size_t RankInZone() const { return m_rank; }
-  std::size_t RankInFleet() const { return m_fleetRank; }
+  std::size_t RankInZone() const { return m_index.RankInZone(); }
+  std::size_t RankInFleet() const { return m_index.RankInFleet(); }
 
   /// Other zones with a member before this host's zone's first.
-  std::size_t ZonesBefore() const { return m_zonesBefore; }
+  std::size_t ZonesBefore() const { return m_index.ZonesBefore(); }
 
   /// Members that are not gone, without this host, by zone. Valid until the
   /// next message or tick.
-  const std::map<std::string, std::vector<const Member*>>& LiveByZone() const
-  {
-    return m_byZone;
-  }
+  const LiveIndex::Zones& LiveByZone() const { return m_index.ByZone(); }
 
   /// Members that are not gone, with this host.
-  std::size_t LiveCount() const { return m_live.size() + 1; }
+  std::size_t LiveCount() const { return m_index.All().size() + 1; }
 
   /// The opinion of `aAddress`; empty when it is unknown or this host.
   std::optional<Member> Find(base::Ipv4Address aAddress) const;
@@ -159,9 +156,8 @@
   void CallSeeds(base::Instant aNow);
   void Revive(base::Instant aNow);
   void Expire(base::Instant aNow);
+  /// Brings the index up to what was learned since.
   void Reindex();
-  void ReindexIfChanged();
-  void Rank();
   std::uint32_t SendProbe(base::Ipv4Address aTo, bool aWantsAll);
   base::Ipv4Address NextTarget();
   std::size_t Draw(std::size_t aCount);
@@ -171,14 +167,8 @@
   std::mt19937_64 m_random;
   std::vector<base::Ipv4Address> m_seeds;
   std::map<base::Ipv4Address, Entry> m_entries;
-  std::vector<base::Ipv4Address> m_live;
-  std::vector<base::Ipv4Address> m_zonePeers;
-  std::map<std::string, std::vector<const Member*>> m_byZone;
-  std::size_t m_rank = 0;
-  std::size_t m_fleetRank = 0;
-  std::size_t m_zonesBefore = 0;
+  LiveIndex m_index;
   bool m_changed = false;
-  std::vector<base::Ipv4Address> m_farPeers;
   ProbeRound m_nearRound;
   ProbeRound m_farRound;
   std::uint32_t m_probes = 0;
--- a/src/wasabiloom/token/BeliefLog.cpp
+++ b/src/wasabiloom/token/BeliefLog.cpp
@@ -102,8 +102,8 @@
 std::string
 BeliefLog::TakeSummary()
 {
-  const std::string summary = " adopted=" + std::to_string(m_adopted) +
-                              " others=" + std::to_string(m_others) + m_named;
+  std::string summary = " adopted=" + std::to_string(m_adopted) +
+                        " others=" + std::to_string(m_others) + m_named;
   m_adopted = 0;
   m_others = 0;
   m_named.clear();
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -11,12 +11,6 @@
 
 constexpr base::Duration kSweepInterval = std::chrono::seconds(1);
 
-std::int64_t
-Milliseconds(base::Duration aSpan)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count();
-}
-
 } // namespace
 
 TokenHost::TokenHost(TokenHostIdentity aIdentity,
@@ -80,7 +74,7 @@
     m_reader.Hurry(aNow);
     m_effects.LogBelief("woke_from_pause",
                         "gap_ms=" +
-                          std::to_string(Milliseconds(aNow - m_ranAt)));
+                          std::to_string(base::Milliseconds(aNow - m_ranAt)));
   }
   m_ranAt = aNow;
 }
@@ -349,7 +343,7 @@
     m_effects.LogBelief("learned_from_peer",
                         "revision=" + std::to_string(aNews.m_to) +
                           " before=" + std::to_string(before) + " age_ms=" +
-                          std::to_string(Milliseconds(aNews.m_age)) +
+                          std::to_string(base::Milliseconds(aNews.m_age)) +
                           m_log.TakeSummary());
   }
   ReleaseHeld(aNow);
--- /dev/null
+++ b/tests/support/FleetNetHost.h
@@ -0,0 +1,337 @@
+/// One host of a FleetNet; for its source file only.
+#pragma once
+
+#include "support/FleetNet.h"
+#include "support/Problems.h"
+#include "wasabiloom/fleet/MessageCodec.h"
+#include "wasabiloom/registry/FactsCodec.h"
+
+namespace wasabiloom::tests {
+
+/// Time until the registry begins to answer.
+constexpr base::Duration kRegistryAnswer = std::chrono::milliseconds(4);
+
+/// A host whose calls have failed for so long takes itself for cut off.
+constexpr base::Duration kCutOffAfter = std::chrono::milliseconds(600);
+
+/// A server's entry in the registry's answers, in bytes.
+constexpr double kListedEntry = 400;
+
+/// A reader's events that nobody asks for.
+class NoEvents final : public registry::ReaderEvents
+{
+public:
+  void OnFact(const registry::Fact& /*aFact*/,
+              registry::Outcome /*aOutcome*/,
+              registry::Origin /*aOrigin*/) override
+  {
+  }
+  void OnCallFailed(const registry::CallFailure& /*aFailure*/,
+                    std::uint32_t /*aFailures*/,
+                    base::Duration /*aPause*/) override
+  {
+  }
+  void OnReachable(std::uint64_t /*aRevision*/) override {}
+  void OnListed(std::uint64_t /*aRevision*/, std::size_t /*aFacts*/) override {}
+};
+
+/// One host: a reader with its call under way, and its part in the fleet.
+class FleetNet::Host final
+  : public fleet::FactPool
+  , private fleet::RosterOutbox
+  , private fleet::RelayOutbox
+  , private fleet::SearchOutbox
+  , private fleet::TellerOutbox
+{
+public:
+  Host(FleetNet& aNet, std::size_t aIndex, std::uint64_t aIncarnation)
+    : m_net(aNet)
+    , m_index(aIndex)
+    , m_reader(Timing(), aIncarnation, m_beliefs, m_events)
+    , m_roster({ aNet.AddressOf(aIndex),
+                 Zone(),
+                 aIncarnation,
+                 fleet::Standing::Alive,
+                 aNet.CapacityOf(aIndex) },
+               aIncarnation,
+               *this)
+    , m_relay({}, aIncarnation, m_roster, *this, *this)
+    , m_board(*this)
+    , m_search(aIncarnation, m_roster, *this, *this)
+    , m_startedAt(aNet.m_now)
+  {
+    std::vector<base::Ipv4Address> seeds;
+    for (std::size_t i = 0; i < std::min<std::size_t>(3, aNet.m_zones); ++i) {
+      seeds.push_back(aNet.AddressOf(i));
+    }
+    m_roster.SetSeeds(seeds);
+    m_search.SetFirst(seeds);
+    m_search.Begin(m_startedAt);
+  }
+
+  void Tick()
+  {
+    const base::Instant now = m_net.m_now;
+    m_roster.Tick(now);
+    FinishCall();
+    m_relay.Tick(now);
+    const bool isCutOff =
+      m_reader.IsFailing() && now - m_reader.AnsweredAt() > kCutOffAfter;
+    m_search.Tick(isCutOff, now);
+    if (IsReady()) {
+      m_board.OnKnown(m_roster.Self(), now);
+    }
+    m_board.SetWaits(HasListed() && !IsReady());
+    m_board.Tick(now);
+    BeginCall();
+    NoteReady();
+  }
+
+  void OnBytes(const std::string& aBytes)
+  {
+    const auto message = ValueOf([&] { return fleet::DecodeMessage(aBytes); });
+    const base::Ipv4Address from = message.m_sender.m_address;
+    m_roster.OnMessage(message, m_net.m_now);
+    if (const auto* news =
+          std::get_if<fleet::RelayedNews>(&message.m_content)) {
+      m_relay.OnNews(from, *news, m_net.m_now);
+    } else if (const auto* tellers =
+                 std::get_if<fleet::Tellers>(&message.m_content)) {
+      m_search.OnTellers(*tellers, m_net.m_now);
+    } else if (std::holds_alternative<fleet::FactsWanted>(message.m_content)) {
+      m_board.OnWanted(message.m_sender, m_net.m_now);
+    } else if (std::holds_alternative<fleet::FactsKnown>(message.m_content)) {
+      m_board.OnKnown(message.m_sender, m_net.m_now);
+    } else if (std::holds_alternative<fleet::RegistrySilent>(
+                 message.m_content)) {
+      m_relay.OnSilent(from, m_net.m_now);
+    }
+    NoteReady();
+  }
+
+  registry::NewsOutcome OnNews(const registry::News& aNews,
+                               base::Instant aNow) override
+  {
+    return m_reader.OnNews(aNews, aNow);
+  }
+  std::optional<registry::News> NewsSince(std::uint64_t aRevision,
+                                          base::Instant aNow) const override
+  {
+    return m_reader.NewsSince(aRevision, aNow);
+  }
+  base::Instant AnsweredAt() const override { return m_reader.AnsweredAt(); }
+  base::Instant LearnedAt() const override { return m_reader.LearnedAt(); }
+  bool IsReady() const override
+  {
+    return m_beliefs.IsComplete() && m_reader.IsConfirmed();
+  }
+  std::uint64_t Revision() const override { return m_reader.Revision(); }
+  void SetPatience(base::Duration aPatience, bool aStandsBy) override
+  {
+    m_reader.SetPatience(aPatience, aStandsBy);
+  }
+  bool HasListed() const override { return m_beliefs.IsListed(); }
+  bool IsFailing() const override { return m_reader.IsFailing(); }
+  void HoldListing(base::Instant aUntil) override
+  {
+    m_reader.HoldListing(aUntil);
+  }
+
+  const fleet::Roster& GetRoster() const { return m_roster; }
+  bool IsReader() const { return m_relay.IsReader(); }
+  std::uint64_t Version() const { return m_beliefs.InForce().m_version; }
+  std::uint64_t Incarnation() const { return m_roster.Self().m_incarnation; }
+
+  std::optional<base::Duration> TimeToReady() const
+  {
+    if (!m_readyAt) {
+      return std::nullopt;
+    }
+    return *m_readyAt - m_startedAt;
+  }
+
+  /// Takes in what was pulled.
+  void OnPulled(const registry::News& aNews)
+  {
+    OnNews(aNews, m_net.m_now);
+    m_relay.OnPulled(m_net.m_now);
+    m_search.Tick(false, m_net.m_now);
+    NoteReady();
+  }
+
+private:
+  static registry::ReaderTiming Timing()
+  {
+    registry::ReaderTiming timing;
+    timing.m_watchWait = std::chrono::milliseconds(800);
+    timing.m_pace = std::chrono::milliseconds(600);
+    return timing;
+  }
+
+  std::string Zone() const
+  {
+    return "zone-" + std::to_string(m_index % m_net.m_zones);
+  }
+
+  void NoteReady()
+  {
+    if (!m_readyAt && IsReady()) {
+      m_readyAt = m_net.m_now;
+    }
+  }
+
+  void BeginCall()
+  {
+    const registry::ReaderCall call = m_reader.Next(m_net.m_now);
+    if (call.m_kind == registry::ReaderCall::Kind::None) {
+      return;
+    }
+    m_call = call;
+    m_calledAt = m_net.m_now;
+    ++m_net.m_calls;
+    const bool isListing = call.m_kind == registry::ReaderCall::Kind::List;
+    m_net.m_listings += isListing ? 1 : 0;
+    m_answerAt = isListing && !IsUnanswered()
+                   ? m_net.TransferAnswer(m_index, m_net.m_links.m_listing)
+                   : m_net.m_now + kRegistryAnswer;
+    m_changes.reset();
+  }
+
+  bool IsUnanswered() const
+  {
+    return m_net.m_silent && m_net.m_silent(m_index);
+  }
+
+  /// Lets the registry answer the call under way, if it does.
+  void FinishCall()
+  {
+    if (!m_call || m_net.m_now < m_answerAt) {
+      return;
+    }
+    const registry::ReaderCall call = *m_call;
+    const base::Duration since = m_net.m_now - m_calledAt;
+    if (IsUnanswered()) {
+      if (m_net.m_refuses || since >= call.m_timeout) {
+        m_call.reset();
+        m_reader.OnFailure({ base::ResultCode::PlatformUnavailable, "late" },
+                           m_net.m_now);
+      }
+      return;
+    }
+    if (call.m_kind == registry::ReaderCall::Kind::List) {
+      m_call.reset();
+      m_reader.OnPage({ m_net.FactsAfter(0), "", m_net.m_revision },
+                      m_net.m_now);
+    } else if (m_changes) {
+      m_call.reset();
+      m_reader.OnChanges(*m_changes, m_net.m_now);
+    } else if (m_net.m_revision > call.m_revision || since >= call.m_wait) {
+      SendChanges(call.m_revision);
+    }
+  }
+
+  /// The registry answers a watch; the answer takes its time.
+  void SendChanges(std::uint64_t aAfter)
+  {
+    m_changes = registry::Changes{ m_net.FactsAfter(aAfter), m_net.m_revision };
+    const double bytes =
+      kListedEntry * static_cast<double>(m_changes->m_facts.size());
+    m_answerAt = m_net.TransferAnswer(m_index, bytes);
+  }
+
+  void SendTo(base::Ipv4Address aTo, const fleet::Message& aMessage) override
+  {
+    m_net.Send(m_index, aTo, fleet::EncodeMessage(aMessage));
+  }
+  void OnStanding(const fleet::Member& aMember) override
+  {
+    if (aMember.m_standing == fleet::Standing::Gone) {
+      m_net.NoteGone(aMember);
+    }
+  }
+  void SendContent(base::Ipv4Address aTo,
+                   const fleet::Content& aContent) override
+  {
+    SendTo(aTo, m_roster.Compose(aContent));
+  }
+  void SendNews(const std::vector<fleet::NewsCopy>& aCopies) override
+  {
+    fleet::Message message = m_roster.Compose(fleet::Roll{});
+    for (const fleet::NewsCopy& copy : aCopies) {
+      message.m_content = copy.m_news;
+      SendTo(copy.m_to, message);
+    }
+  }
+  void SendSilent(const std::vector<base::Ipv4Address>& aTo) override
+  {
+    for (const base::Ipv4Address to : aTo) {
+      SendContent(to, fleet::RegistrySilent{});
+    }
+  }
+  void SendTellers(base::Ipv4Address aTo,
+                   const fleet::Tellers& aTellers) override
+  {
+    SendContent(aTo, aTellers);
+  }
+  void PullFirst(base::Ipv4Address aFrom, std::uint64_t aRevision) override
+  {
+    Pull(aFrom, aRevision);
+  }
+
+  void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) override
+  {
+    ++m_net.m_pulls;
+    const std::size_t from = aFrom.m_bits - 1;
+    if (m_net.IsLost(m_index, from)) {
+      return;
+    }
+    FleetNet& net = m_net;
+    const std::size_t to = m_index;
+    const std::uint64_t incarnation = Incarnation();
+    net.Later(net.m_now + net.Delay(to, from), [=, &net] {
+      if (net.IsUp(from)) {
+        net.m_hosts[from]->TellPulled(to, incarnation, aRevision);
+      }
+    });
+  }
+
+  /// Answers a pull of the host `aTo`.
+  void TellPulled(std::size_t aTo,
+                  std::uint64_t aIncarnation,
+                  std::uint64_t aRevision)
+  {
+    const auto news = NewsSince(aRevision, m_net.m_now);
+    if (!news || m_net.IsLost(m_index, aTo)) {
+      return;
+    }
+    const double bytes =
+      news->m_from == 0 && m_net.m_links.m_packed > 0
+        ? m_net.m_links.m_packed
+        : static_cast<double>(registry::EncodeNews(*news).size());
+    FleetNet& net = m_net;
+    net.Later(net.Transfer(m_index, aTo, bytes), [=, &net] {
+      if (net.IsUp(aTo) && net.m_hosts[aTo]->Incarnation() == aIncarnation) {
+        net.m_hosts[aTo]->OnPulled(*news);
+      }
+    });
+  }
+
+  FleetNet& m_net;
+  std::size_t m_index;
+  registry::Beliefs m_beliefs;
+  NoEvents m_events;
+  registry::Reader m_reader;
+  fleet::Roster m_roster;
+  fleet::FactRelay m_relay;
+  fleet::TellerBoard m_board;
+  fleet::FactSearch m_search;
+  base::Instant m_startedAt;
+  std::optional<base::Instant> m_readyAt;
+  std::optional<registry::ReaderCall> m_call;
+  base::Instant m_calledAt;
+  base::Instant m_answerAt;
+  /// What is on its way from the registry.
+  std::optional<registry::Changes> m_changes;
+};
+
+} // namespace wasabiloom::tests
--- a/tests/unit/FleetStartTests.cpp
+++ b/tests/unit/FleetStartTests.cpp
@@ -53,7 +53,7 @@
   constexpr std::size_t kHosts = 232;
   const auto start = [](StartTrouble aTrouble) {
     auto net = MakeStartingFleet(kHosts, 2);
-    const auto times = StartAtOnce(*net, kHosts, aTrouble);
+    StartTimes times = StartAtOnce(*net, kHosts, aTrouble);
     EXPECT_EQ(times.m_unready, 0U) << ToString(aTrouble);
     return times;
   };
