--- a/src/wasabiloom/fleet/FactRelay.cpp
+++ b/src/wasabiloom/fleet/FactRelay.cpp
@@ -34,7 +34,7 @@
   , m_roster(aRoster)
   , m_facts(aFacts)
   , m_outbox(aOutbox)
-  , m_share(std::uniform_real_distribution<double>(0, 1)(m_random))
+  , m_standbyShare(std::uniform_real_distribution<double>(0, 1)(m_random))
 {
 }
 
@@ -64,8 +64,8 @@
     silent >= static_cast<std::ptrdiff_t>(kSilentForStandby);
   if (isLeftToOthers) {
     const std::chrono::duration<double> patience = m_timing.m_patience;
-    return std::chrono::duration_cast<base::Duration>(patience *
-                                                      (1.5 + m_share));
+    return std::chrono::duration_cast<base::Duration>(
+      patience * (kStandbyPatience + m_standbyShare));
   }
   return m_timing.m_patience +
          std::min(Turn(), kStaggered) * m_timing.m_stagger;
--- a/src/wasabiloom/fleet/FactRelay.h
+++ b/src/wasabiloom/fleet/FactRelay.h
@@ -31,8 +31,10 @@
 constexpr std::size_t kStaggered = 5;
 
 /// When so many others were not answered lately, those that stand by leave it
-/// to them for longer: half of their patience more to one and a half.
+/// to them for longer: kStandbyPatience times the patience, and up to once the
+/// patience more, each host another part of it.
 constexpr std::size_t kSilentForStandby = 3;
+constexpr double kStandbyPatience = 1.5;
 constexpr base::Duration kSilentLately = std::chrono::seconds(4);
 
 /// News for one host.
@@ -130,7 +132,8 @@
   /// Hosts that were not answered, and when they said so.
   std::map<base::Ipv4Address, base::Instant> m_silent;
   base::Instant m_silenceToldAt;
-  double m_share = 0;
+  /// This host's part of the patience by which those that stand by differ.
+  double m_standbyShare = 0;
   bool m_leaving = false;
 };
 
--- a/src/wasabiloom/fleet/FactSearch.h
+++ b/src/wasabiloom/fleet/FactSearch.h
@@ -85,9 +85,6 @@
   /// The teller that was asked gave nothing.
   void OnPullFailed(base::Instant aNow);
 
-  /// Whether the host still looks for facts.
-  bool IsSearching() const { return m_searching; }
-
 private:
   void Ask(base::Instant aNow);
   /// Puts a first listing off, never forward.
