A refusal says what earlier attempts may have done

Cause: a repeatable request whose first attempt was not answered is sent to a second backend server. When that one refused, OnRefusal took back that the request may have run, for all attempts, so the caller got a refusal ("not run") although the first server may have run it. The same at a cancellation while the request waited for a slot.

Change: the record keeps apart what the current attempt may have done and whether an earlier one was given up unanswered; the caller gets an unknown outcome in the second case.

Ruled out: forgetting only on silence at the deadline (the path with refusals and waiting never comes there).

--- a/src/wasabiloom/request/RequestDispatcher.cpp
+++ b/src/wasabiloom/request/RequestDispatcher.cpp
@@ -345,6 +345,7 @@
     if (PickTarget(aRecord) != steering::kNoTargetIndex) {
       SendCancelToBackend(aRecord);
       ReleaseAttempt(aRecord);
+      aRecord.m_mayHaveRunEarlier = true;
       Dispatch(aKey, aRecord, aNow);
       return;
     }
@@ -362,8 +363,8 @@
                                   ResultCode aCode,
                                   std::string_view aReason)
 {
-  const bool unknown =
-    aRecord.m_mayHaveRun || aCode == ResultCode::OutcomeUnknown;
+  const bool unknown = aRecord.m_mayHaveRun || aRecord.m_mayHaveRunEarlier ||
+                       aCode == ResultCode::OutcomeUnknown;
   Envelope envelope;
   envelope.m_kind =
     unknown ? EnvelopeKind::UnknownOutcome : EnvelopeKind::Refusal;
--- a/src/wasabiloom/request/RequestDispatcher.h
+++ b/src/wasabiloom/request/RequestDispatcher.h
@@ -82,8 +82,10 @@
     std::set<steering::TargetIndex> m_refusedBy;
     std::uint32_t m_attempts = 0;
     base::Instant m_waitEnds;
-    /// The last attempt was not refused, so the request may have run.
+    /// Whether the current attempt may have run: it was sent and not refused.
     bool m_mayHaveRun = false;
+    /// Whether an earlier attempt was given up unanswered and may have run.
+    bool m_mayHaveRunEarlier = false;
     bool m_finished = false;
     std::vector<Envelope> m_replies;
   };
--- a/tests/unit/RequestDispatcherTests.cpp
+++ b/tests/unit/RequestDispatcherTests.cpp
@@ -62,6 +62,16 @@
     m_home.OnBackendDatagram(reply, m_now);
   }
 
+  /// Answers the last request that was sent to a backend server.
+  void ReplyToLastRequest(EnvelopeKind aKind)
+  {
+    std::size_t last = m_sink.m_toBackend.size() - 1;
+    while (m_sink.m_toBackend.at(last).second.m_kind != EnvelopeKind::Request) {
+      --last;
+    }
+    Reply(last, aKind);
+  }
+
   void Pass(milliseconds aTime)
   {
     m_now += aTime;
@@ -161,6 +171,36 @@
             bench.Pass(milliseconds(600));
             EXPECT_EQ(bench.Dispatches(), 2U);
           });
+  Section("a refusal of the second attempt does not hide that the first one, "
+          "which was not answered, may have run",
+          [] {
+            HomeBench bench(2);
+            bench.Ask('a', true);
+            bench.Pass(milliseconds(600));
+            ASSERT_EQ(bench.Dispatches(), 2U);
+            for (int i = 0; i < 50 && bench.m_sink.m_toCaller.empty(); ++i) {
+              bench.ReplyToLastRequest(EnvelopeKind::Refusal);
+              bench.Pass(milliseconds(10));
+            }
+            ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+            EXPECT_EQ(bench.m_sink.m_toCaller[0].m_kind,
+                      EnvelopeKind::UnknownOutcome);
+          });
+  Section("a cancellation after a refused second attempt does not hide that "
+          "the first one may have run",
+          [] {
+            HomeBench bench(2);
+            Envelope cancel = bench.Ask('a', true);
+            bench.Pass(milliseconds(400));
+            bench.Pass(milliseconds(150));
+            ASSERT_EQ(bench.Dispatches(), 2U);
+            bench.ReplyToLastRequest(EnvelopeKind::Refusal);
+            cancel.m_kind = EnvelopeKind::Cancel;
+            bench.m_home.OnCallerDatagram(bench.m_flow, cancel, bench.m_now);
+            ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+            EXPECT_EQ(bench.m_sink.m_toCaller[0].m_kind,
+                      EnvelopeKind::UnknownOutcome);
+          });
   Section("a request without a free slot waits and gets the first slot freed",
           [] {
             HomeBench bench(1);
