A host to which callers had better not come says so

Cause: the hosts of a zone that is out of service and then cut off may use only servers of other zones and reach none.

Change: token::ServingDecision decides whether a host can serve new flows, from what it observes: usable servers of its own zone, probes answered by hosts of other zones (fleet::ZoneReachability, only while the own zone has no usable server), responses of other zones' servers, and the registry. Readiness follows it; packets that arrive are forwarded as before. event=cannot_serve/can_serve, metric can_serve.

--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -46,6 +46,7 @@
                    CapacityOf(aSettings) },
                  NewIncarnation(),
                  *this)
+  , m_reachability(NewIncarnation(), m_membership)
   , m_relay(RelayTimingOf(aSettings),
             NewIncarnation(),
             m_membership,
@@ -96,6 +97,7 @@
 FleetLink::Tick(bool aIsCutOff, base::Instant aNow)
 {
   m_membership.Tick(aNow);
+  m_reachability.Tick(aNow);
   m_relay.Tick(aNow);
   m_search.Tick(aIsCutOff, aNow);
   if (m_facts.IsReady()) {
@@ -186,6 +188,7 @@
 {
   const base::Ipv4Address from = aMessage.m_sender.m_address;
   m_membership.OnMessage(aMessage, aNow);
+  m_reachability.OnMessage(aMessage);
   if (const auto* news =
         std::get_if<fleet::RelayedUpdate>(&aMessage.m_content)) {
     m_relay.OnRelayedUpdate(from, *news, aNow);
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -6,6 +6,7 @@
 #include "wasabiloom/fleet/FactRelay.h"
 #include "wasabiloom/fleet/ProviderDirectory.h"
 #include "wasabiloom/fleet/ProviderSearch.h"
+#include "wasabiloom/fleet/ZoneReachability.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
 
 #include <QObject>
@@ -51,6 +52,18 @@
   /// Says farewell.
   void Leave();
 
+  /// Starts or stops to watch whether other zones can be reached.
+  void WatchOtherZones(bool aIsWatching)
+  {
+    m_reachability.SetWatching(aIsWatching);
+  }
+
+  /// See fleet::ZoneReachability::SilentFor.
+  base::Duration OtherZonesSilentFor() const
+  {
+    return m_reachability.SilentFor();
+  }
+
   const fleet::SwimMembership& GetMembership() const { return m_membership; }
 
 private:
@@ -81,6 +94,7 @@
   fleet::LocalFacts& m_facts;
   std::function<void()> m_onLearned;
   fleet::SwimMembership m_membership;
+  fleet::ZoneReachability m_reachability;
   fleet::FactRelay m_relay;
   fleet::ProviderDirectory m_directory;
   fleet::ProviderSearch m_search;
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -160,6 +160,7 @@
   const base::Instant now = Now();
   m_host.OnTick(now);
   m_fleet.Tick(m_host.IsRegistryUnreachable(kCutOffAfter, now), now);
+  UpdateServing(now);
   MakeCall(now);
   ReportMalformed(now);
   if (m_onStopped) {
@@ -169,6 +170,16 @@
   m_log.Flush();
 }
 
+void
+TokenHostTask::UpdateServing(base::Instant aNow)
+{
+  if (!m_host.IsReady()) {
+    return;
+  }
+  m_fleet.WatchOtherZones(m_host.DependsOnOtherZones(aNow));
+  m_host.UpdateServing(m_fleet.OtherZonesSilentFor(), aNow);
+}
+
 void
 TokenHostTask::MakeCall(base::Instant aNow)
 {
@@ -224,7 +235,7 @@
 TokenHostTask::Answer(const std::string& aPath)
 {
   if (aPath == m_adapter.m_readinessPath) {
-    const bool ready = m_host.IsReady() && !m_onStopped;
+    const bool ready = m_host.IsReady() && m_host.CanServe() && !m_onStopped;
     return { ready ? 200 : kUnavailable, "text/plain", ready ? "ready\n" : "" };
   }
   if (aPath == "/metrics") {
--- a/src/wasabiloom/daemon/TokenHostTask.h
+++ b/src/wasabiloom/daemon/TokenHostTask.h
@@ -66,6 +66,7 @@
   void OnReadable();
   void OnTick();
   void MakeCall(base::Instant aNow);
+  void UpdateServing(base::Instant aNow);
   void NoteReady();
   void ContinueLeave(base::Instant aNow);
   HttpReply Answer(const std::string& aPath);
--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -98,6 +98,7 @@
   m_families->SetState("facts_set_aside", totals.m_factsSetAside);
   m_families->SetState("registry_calls", totals.m_calls);
   m_families->SetState("registry_calls_failed", totals.m_callsFailed);
+  m_families->SetState("can_serve", aHost.CanServe() ? 1 : 0);
   m_families->SetState("flows", aHost.FlowCount());
   m_families->SetState("servers", aHost.GetCache().ServerCount());
   m_families->SetState("revision", aHost.Revision());
--- a/src/wasabiloom/fleet/SwimMembership.h
+++ b/src/wasabiloom/fleet/SwimMembership.h
@@ -125,6 +125,10 @@
   /// is this host.
   std::optional<Member> Find(base::Ipv4Address aAddress) const;
 
+  /// Sends one probe to `aTo`, in addition to those that Tick sends. Its answer
+  /// has no effect on the view of the member.
+  void ProbeOnce(base::Ipv4Address aTo) { SendProbe(aTo, false); }
+
   const Member& Self() const { return m_self; }
 
 private:
--- a/src/wasabiloom/registry/ServiceIndex.cpp
+++ b/src/wasabiloom/registry/ServiceIndex.cpp
@@ -81,6 +81,20 @@
   return all;
 }
 
+bool
+ServiceIndex::HasInZone(
+  std::string_view aZone,
+  const std::function<bool(const ServerRecord&)>& aAccepts) const
+{
+  return std::ranges::any_of(m_lists, [&](const auto& aService) {
+    const auto servers = aService.second.find(aZone);
+    return servers != aService.second.end() &&
+           std::ranges::any_of(
+             servers->second,
+             [&](const ServerRecord* aServer) { return aAccepts(*aServer); });
+  });
+}
+
 void
 ServiceIndex::Sample(std::string_view aService,
                      std::string_view aZone,
--- a/src/wasabiloom/registry/ServiceIndex.h
+++ b/src/wasabiloom/registry/ServiceIndex.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -43,6 +44,11 @@
   /// Returns all servers of `aService`.
   Servers All(std::string_view aService) const;
 
+  /// Whether `aAccepts` holds for any server of `aZone`.
+  bool HasInZone(
+    std::string_view aZone,
+    const std::function<bool(const ServerRecord&)>& aAccepts) const;
+
   /// Replaces the contents of `aDrawn` with distinct servers of `aService`,
   /// those of `aZone` first: all of them where `aSize` allows, otherwise a
   /// sample that `aHash` determines. Equal hashes yield equal samples.
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -65,6 +65,9 @@
   if (heard) {
     m_suspicion.OnResponse(aPacket.m_token, aNow);
     m_zoneSuspicion.OnResponse(ZoneKey(aServer.m_server.m_zone), aNow);
+    if (aServer.m_server.m_zone != m_ownZone) {
+      m_otherZoneRespondedAt = aNow;
+    }
   } else if (repeats) {
     m_suspicion.OnDataRetransmitted(aPacket.m_token, aNow);
     DoubtZone(aServer, aNow);
@@ -158,6 +161,16 @@
          !m_beliefs.ZoneOutSince(aServer.m_server.m_zone);
 }
 
+bool
+ServerSelector::HasLocalServer(base::Instant aNow) const
+{
+  return m_beliefs.ServersByService().HasInZone(
+    m_ownZone, [&](const ServerRecord& aServer) {
+      return CanAcceptFlow(aServer) && aNow >= aServer.m_coldUntil &&
+             !IsSuspect(aServer, aNow);
+    });
+}
+
 bool
 ServerSelector::IsConfirmedGone(const ServerRecord& aServer,
                                 base::Instant aNow) const
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -67,6 +67,14 @@
   /// Whether `aServer` can accept new flows, regardless of health and load.
   bool CanAcceptFlow(const registry::ServerRecord& aServer) const;
 
+  /// Whether the host's zone has a warm server that can accept new flows and is
+  /// not suspect.
+  bool HasLocalServer(base::Instant aNow) const;
+
+  /// When a caller last received new data from a server of another zone; the
+  /// epoch if never.
+  base::Instant OtherZoneRespondedAt() const { return m_otherZoneRespondedAt; }
+
   /// Whether `aServer` has certainly failed or left, so that its flows can be
   /// reset. Precondition: the registry is reachable.
   bool IsConfirmedGone(const registry::ServerRecord& aServer,
@@ -88,6 +96,7 @@
   placing::PassiveHealthCheck m_suspicion;
   /// Health of whole zones. It is ignored for the host's own zone.
   placing::PassiveHealthCheck m_zoneSuspicion;
+  base::Instant m_otherZoneRespondedAt;
   placing::LatencyTracker m_latencies;
   /// Buffers that are reused to avoid allocations for each new flow.
   registry::ServiceIndex::Servers m_drawn;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -382,6 +382,35 @@
   }
 }
 
+bool
+TokenHost::DependsOnOtherZones(base::Instant aNow) const
+{
+  return !m_servers.HasLocalServer(aNow);
+}
+
+void
+TokenHost::UpdateServing(base::Duration aOtherZonesSilentFor,
+                         base::Instant aNow)
+{
+  ServingEvidence evidence;
+  evidence.m_hasLocalServer = !DependsOnOtherZones(aNow);
+  evidence.m_otherZonesSilentFor = aOtherZonesSilentFor;
+  evidence.m_otherZoneRespondedAt = m_servers.OtherZoneRespondedAt();
+  evidence.m_registryCurrentAt = m_reader.LearnedAt();
+  const bool couldServe = m_serving.CanServe();
+  const bool canServe = m_serving.Update(evidence, aNow);
+  if (canServe == couldServe) {
+    return;
+  }
+  const bool isZoneOut = m_cache.ZoneOutSince(m_identity.m_zone).has_value();
+  m_effects.LogStateChange(
+    canServe ? "can_serve" : "cannot_serve",
+    "local_server=" + std::to_string(evidence.m_hasLocalServer ? 1 : 0) +
+      " zone_out=" + std::to_string(isZoneOut ? 1 : 0) +
+      " other_zones_silent_ms=" +
+      std::to_string(base::Milliseconds(aOtherZonesSilentFor)));
+}
+
 bool
 TokenHost::IsRegistryUnreachable(base::Duration aSpan, base::Instant aNow) const
 {
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -8,6 +8,7 @@
 #include "wasabiloom/token/FlowTracker.h"
 #include "wasabiloom/token/RegistryEventLog.h"
 #include "wasabiloom/token/ServerSelector.h"
+#include "wasabiloom/token/ServingDecision.h"
 #include "wasabiloom/token/TokenEffects.h"
 
 #include <cstddef>
@@ -111,6 +112,19 @@
     return m_cache.IsComplete() && m_reader.IsConfirmed();
   }
 
+  /// Whether the host's zone has no usable server, so that new flows depend on
+  /// servers of other zones. Precondition: IsReady.
+  bool DependsOnOtherZones(base::Instant aNow) const;
+
+  /// Decides anew whether the host can serve new flows. `aOtherZonesSilentFor`:
+  /// how long no host of another zone has answered. Must be called several
+  /// times a second.
+  void UpdateServing(base::Duration aOtherZonesSilentFor, base::Instant aNow);
+
+  /// Whether the fabric should send new flows to this host; see
+  /// ServingDecision.
+  bool CanServe() const { return m_serving.CanServe(); }
+
   /// Whether calls on the registry fail and it has not answered for longer than
   /// `aSpan`.
   bool IsRegistryUnreachable(base::Duration aSpan, base::Instant aNow) const;
@@ -166,6 +180,7 @@
   base::Instant m_sweptAt;
   base::Instant m_ranAt;
   base::Instant m_wokeAt;
+  ServingDecision m_serving;
 };
 
 } // namespace wasabiloom::token
--- a/tests/support/FleetNet.cpp
+++ b/tests/support/FleetNet.cpp
@@ -261,6 +261,12 @@
   }
 }
 
+fleet::ZoneReachability&
+FleetNet::ReachabilityOf(std::size_t aHost)
+{
+  return m_hosts[aHost]->GetReachability();
+}
+
 const fleet::SwimMembership&
 FleetNet::RosterOf(std::size_t aHost) const
 {
--- a/tests/support/FleetNet.h
+++ b/tests/support/FleetNet.h
@@ -6,6 +6,7 @@
 #include "wasabiloom/fleet/FactRelay.h"
 #include "wasabiloom/fleet/ProviderDirectory.h"
 #include "wasabiloom/fleet/ProviderSearch.h"
+#include "wasabiloom/fleet/ZoneReachability.h"
 
 #include <functional>
 #include <map>
@@ -86,6 +87,7 @@
   void RenewEntries(std::size_t aFrom, std::size_t aTo);
 
   const fleet::SwimMembership& RosterOf(std::size_t aHost) const;
+  fleet::ZoneReachability& ReachabilityOf(std::size_t aHost);
   std::uint64_t RevisionOf(std::size_t aHost) const;
   std::uint64_t VersionOf(std::size_t aHost) const;
   std::uint64_t LatestVersion() const { return m_version; }
--- a/tests/support/FleetNetHost.h
+++ b/tests/support/FleetNetHost.h
@@ -55,6 +55,7 @@
                  aNet.CapacityOf(aIndex) },
                aIncarnation,
                *this)
+    , m_reachability(aIncarnation, m_roster)
     , m_relay({}, aIncarnation, m_roster, *this, *this)
     , m_board(*this)
     , m_search(aIncarnation, m_roster, *this, *this)
@@ -73,6 +74,7 @@
   {
     const base::Instant now = m_net.m_now;
     m_roster.Tick(now);
+    m_reachability.Tick(now);
     FinishCall();
     m_relay.Tick(now);
     const bool isCutOff =
@@ -92,6 +94,7 @@
     const auto message = ValueOf([&] { return fleet::DecodeMessage(aBytes); });
     const base::Ipv4Address from = message.m_sender.m_address;
     m_roster.OnMessage(message, m_net.m_now);
+    m_reachability.OnMessage(message);
     if (const auto* news =
           std::get_if<fleet::RelayedUpdate>(&message.m_content)) {
       m_relay.OnRelayedUpdate(from, *news, m_net.m_now);
@@ -139,6 +142,7 @@
   }
 
   const fleet::SwimMembership& GetRoster() const { return m_roster; }
+  fleet::ZoneReachability& GetReachability() { return m_reachability; }
   bool IsReader() const { return m_relay.IsReader(); }
   std::uint64_t Version() const { return m_beliefs.CurrentGlobal().m_version; }
   std::uint64_t Incarnation() const { return m_roster.Self().m_incarnation; }
@@ -324,6 +328,7 @@
   NoEvents m_events;
   registry::Reader m_reader;
   fleet::SwimMembership m_roster;
+  fleet::ZoneReachability m_reachability;
   fleet::FactRelay m_relay;
   fleet::ProviderDirectory m_board;
   fleet::ProviderSearch m_search;
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -332,6 +332,35 @@
   });
 }
 
+TEST_F(TokenHostTest, DependsOnOtherZonesWithoutAUsableServerInItsOwn)
+{
+  Learn({ MakeServer("i-1"), MakeServer("i-2", "b") });
+  EXPECT_FALSE(m_host.DependsOnOtherZones(At(0)));
+
+  Section("a cold server is not usable", [&] {
+    auto cold = MakeServer("i-1", "a", 2);
+    cold.m_coldRemaining = std::chrono::seconds(2);
+    Change({ ServerFact(cold, 20) }, 1);
+    EXPECT_TRUE(m_host.DependsOnOtherZones(At(1.1)));
+    EXPECT_FALSE(m_host.DependsOnOtherZones(At(3.1)));
+  });
+  Section("a server of a zone that is out of service is not usable", [&] {
+    Change({ ZoneOutFact("a", 21) }, 4);
+    EXPECT_TRUE(m_host.DependsOnOtherZones(At(4.1)));
+  });
+  Section("such a host stops serving when other zones are silent, and still "
+          "forwards packets",
+          [&] {
+            m_host.UpdateServing(std::chrono::milliseconds(100), At(4.1));
+            EXPECT_TRUE(m_host.CanServe());
+            m_host.UpdateServing(std::chrono::milliseconds(900), At(5));
+            EXPECT_FALSE(m_host.CanServe());
+            EXPECT_EQ(Give(Data("i-2"), 5), kServer2);
+            m_host.UpdateServing(std::chrono::milliseconds(0), At(5.1));
+            EXPECT_TRUE(m_host.CanServe());
+          });
+}
+
 TEST_F(TokenHostTest, ResetsFlowsWithoutARoute)
 {
   Learn({ MakeServer("i-1") });
