An opening packet counts as load until its flow is open

Hypothesis: a server whose process has ended resets opening packets, which only the caller sees.

Change: a flow awaits a handshake from its opening packet on and counts like a request in progress, until the next packet of the flow or 1.4 s have passed. FlowTracker says what a flow awaits in place of one flag.

--- a/src/wasabiloom/token/FlowTracker.cpp
+++ b/src/wasabiloom/token/FlowTracker.cpp
@@ -2,6 +2,16 @@
 
 namespace wasabiloom::token {
 
+namespace {
+
+bool
+IsActive(const FlowRecord& aRecord)
+{
+  return aRecord.m_awaits != Awaits::Nothing;
+}
+
+} // namespace
+
 FlowRecord*
 FlowTracker::Find(const packet::FlowKey& aFlow)
 {
@@ -34,21 +44,20 @@
   aRecord.m_token = aToken;
   FlowCounts& count = m_counts[aToken];
   ++count.m_openFlows;
-  count.m_activeRequests += aRecord.m_requestPending ? 1 : 0;
+  count.m_activeRequests += IsActive(aRecord) ? 1 : 0;
 }
 
 void
-FlowTracker::SetRequestPending(FlowRecord& aRecord,
-                               bool aBusy,
-                               base::Instant aNow)
+FlowTracker::SetAwaits(FlowRecord& aRecord, Awaits aAwaits, base::Instant aNow)
 {
-  if (aRecord.m_requestPending == aBusy) {
+  if (aRecord.m_awaits == aAwaits) {
     return;
   }
-  aRecord.m_requestPending = aBusy;
-  aRecord.m_requestAt = aNow;
   FlowCounts& count = m_counts[aRecord.m_token];
-  count.m_activeRequests += aBusy ? 1U : -1U;
+  count.m_activeRequests -= IsActive(aRecord) ? 1 : 0;
+  aRecord.m_awaits = aAwaits;
+  aRecord.m_awaitsSince = aNow;
+  count.m_activeRequests += IsActive(aRecord) ? 1 : 0;
 }
 
 void
@@ -74,7 +83,7 @@
   if (count == m_counts.end()) {
     return;
   }
-  count->second.m_activeRequests -= aRecord.m_requestPending ? 1 : 0;
+  count->second.m_activeRequests -= IsActive(aRecord) ? 1 : 0;
   if (--count->second.m_openFlows == 0) {
     m_counts.erase(count);
   }
@@ -84,7 +93,12 @@
 FlowTracker::Sweep(base::Duration aIdle, base::Instant aNow)
 {
   for (auto flow = m_flows.begin(); flow != m_flows.end();) {
-    const bool silent = aNow - flow->second.m_lastSeenAt > aIdle;
+    FlowRecord& record = flow->second;
+    if (record.m_awaits == Awaits::Handshake &&
+        aNow - record.m_awaitsSince > kHandshakeTimeout) {
+      SetAwaits(record, Awaits::Nothing, aNow);
+    }
+    const bool silent = aNow - record.m_lastSeenAt > aIdle;
     flow = silent ? Erase(flow) : std::next(flow);
   }
 }
--- a/src/wasabiloom/token/FlowTracker.h
+++ b/src/wasabiloom/token/FlowTracker.h
@@ -9,6 +9,16 @@
 
 namespace wasabiloom::token {
 
+/// What a flow is waiting for from its server.
+enum class Awaits : std::uint8_t
+{
+  Nothing,
+  /// A response to the opening packet.
+  Handshake,
+  /// A response to a request.
+  Response,
+};
+
 /// State of a flow on one host, used for load estimates, health checks,
 /// retransmissions and logs. Forwarding does not depend on it: any host can
 /// forward packets of an open flow that it has never seen.
@@ -23,15 +33,15 @@
   bool m_established = false;
   /// Whether a dropped packet of this flow was logged.
   bool m_dropLogged = false;
-  /// Whether a request is in progress, and when that last changed.
-  bool m_requestPending = false;
-  base::Instant m_requestAt;
+  /// What the flow is waiting for, and since when.
+  Awaits m_awaits = Awaits::Nothing;
+  base::Instant m_awaitsSince;
   base::Instant m_lastSeenAt;
   base::Instant m_firstSeenAt;
 };
 
-/// Number of flows at one backend server, and of those with a request in
-/// progress.
+/// Number of flows at one backend server, and of those that await a handshake
+/// or a response.
 struct FlowCounts
 {
   std::uint32_t m_openFlows = 0;
@@ -54,14 +64,14 @@
   /// Assigns a flow to the server `aToken`.
   void Assign(FlowRecord& aRecord, std::uint32_t aToken);
 
-  /// Sets whether the flow has a request in progress; a change is timed at
-  /// `aNow`.
-  void SetRequestPending(FlowRecord& aRecord, bool aBusy, base::Instant aNow);
+  /// Sets what the flow is waiting for; a change is timed at `aNow`.
+  void SetAwaits(FlowRecord& aRecord, Awaits aAwaits, base::Instant aNow);
 
   /// Removes a flow, if it is in the table.
   void Erase(const packet::FlowKey& aFlow);
 
-  /// Removes flows without a packet for longer than `aIdle`.
+  /// Removes flows without a packet for longer than `aIdle`. Flows that have
+  /// awaited a handshake for longer than kHandshakeTimeout no longer do.
   void Sweep(base::Duration aIdle, base::Instant aNow);
 
   /// Returns the number of flows assigned to the server `aToken`.
@@ -87,6 +97,9 @@
   std::unordered_map<std::uint32_t, FlowCounts> m_counts;
 };
 
+/// Time after which a caller gives up an attempt to open a flow.
+constexpr base::Duration kHandshakeTimeout = std::chrono::milliseconds(1400);
+
 /// Maximum number of flows in the table of a host; bounds its memory.
 constexpr std::size_t kMaxFlows = 100'000;
 
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -72,14 +72,17 @@
     m_suspicion.OnDataRetransmitted(aPacket.m_token, aNow);
     DoubtZone(aServer, aNow);
   }
-  if (heard && aRecord.m_requestPending) {
-    m_latencies.AddSample(aPacket.m_token, aNow - aRecord.m_requestAt, aNow);
-    m_flows.SetRequestPending(aRecord, false, aNow);
+  if (heard && aRecord.m_awaits == Awaits::Response) {
+    m_latencies.AddSample(aPacket.m_token, aNow - aRecord.m_awaitsSince, aNow);
+  }
+  if (heard || isFirst) {
+    m_flows.SetAwaits(aRecord, Awaits::Nothing, aNow);
   }
   if (isFirst || IsAfter(aPacket.m_sequence, aRecord.m_sequence)) {
     aRecord.m_sequence = aPacket.m_sequence;
-    m_flows.SetRequestPending(
-      aRecord, aPacket.m_payloadBytes > 0 && !aPacket.m_closes, aNow);
+    const bool isRequest = aPacket.m_payloadBytes > 0 && !aPacket.m_closes;
+    m_flows.SetAwaits(
+      aRecord, isRequest ? Awaits::Response : Awaits::Nothing, aNow);
   }
   aRecord.m_established = true;
   aRecord.m_lastSeenAt = aNow;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -148,6 +148,7 @@
     record->m_lastSeenAt = aNow;
     record->m_sawOpening = true;
     m_flows.Assign(*record, server.m_token);
+    m_flows.SetAwaits(*record, Awaits::Handshake, aNow);
   }
   decision.m_reason =
     avoid == 0 ? ReasonOf(placement->m_reason) : Reason::PlacedAgain;
