The fastest quarter of servers is the measure of slow responses

Hypothesis: when most servers of a service are slow, the median response time is that of a slow server, and nobody counts as slow.

Change: placing compares with the first quartile of the candidates.

--- a/src/wasabiloom/placing/Placement.cpp
+++ b/src/wasabiloom/placing/Placement.cpp
@@ -11,12 +11,13 @@
 
 namespace {
 
-/// Number of candidates up to which the median needs no allocation.
+/// Number of candidates up to which the quartile needs no allocation.
 constexpr std::size_t kUsualCandidates = 72;
 
-/// Median of the known response times; zero if none is known.
+/// First quartile of the known response times; zero if none is known. The
+/// median would be that of a slow server when most servers are slow.
 base::Duration
-MedianLatency(std::span<const Candidate> aCandidates)
+ReferenceLatency(std::span<const Candidate> aCandidates)
 {
   boost::container::small_vector<base::Duration, kUsualCandidates> known;
   for (const Candidate& candidate : aCandidates) {
@@ -27,22 +28,22 @@
   if (known.empty()) {
     return base::Duration::zero();
   }
-  const auto middle =
-    known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
-  std::nth_element(known.begin(), middle, known.end());
-  return *middle;
+  const auto quartile =
+    known.begin() + static_cast<std::ptrdiff_t>(known.size() / 4);
+  std::nth_element(known.begin(), quartile, known.end());
+  return *quartile;
 }
 
 double
-LoadOf(const Candidate& aCandidate, base::Duration aMedian)
+LoadOf(const Candidate& aCandidate, base::Duration aReference)
 {
   const double slots = std::max<std::uint32_t>(aCandidate.m_slots, 1);
   const double requests =
     aCandidate.m_activeRequests + kOpenFlowLoad * aCandidate.m_openFlows;
   double behind = 0;
-  if (aMedian > base::Duration::zero()) {
+  if (aReference > base::Duration::zero()) {
     const double multiple = static_cast<double>(aCandidate.m_latency.count()) /
-                            static_cast<double>(aMedian.count());
+                            static_cast<double>(aReference.count());
     behind = std::max(0.0, multiple - kOrdinaryLatency);
   }
   const double distance = aCandidate.m_sameZone ? 0 : kZoneDistance;
@@ -65,12 +66,12 @@
       std::uint32_t aAvoid,
       std::uint64_t aHash)
 {
-  const base::Duration median = MedianLatency(aCandidates);
+  const base::Duration reference = ReferenceLatency(aCandidates);
   const auto rank = [&](const Candidate& aCandidate) {
     return std::tuple(aCandidate.m_token == aAvoid,
                       aCandidate.m_suspect,
                       aCandidate.m_cold,
-                      LoadOf(aCandidate, median),
+                      LoadOf(aCandidate, reference),
                       base::Combine(aHash, aCandidate.m_token));
   };
   const auto best = std::ranges::min_element(aCandidates, {}, rank);
--- a/src/wasabiloom/placing/Placement.h
+++ b/src/wasabiloom/placing/Placement.h
@@ -17,7 +17,7 @@
   std::uint32_t m_token = 0;
   /// Number of flows that this host forwards to the server.
   std::uint32_t m_openFlows = 0;
-  /// Number of those flows with a request in progress.
+  /// Number of those flows that are being opened or have a request in progress.
   std::uint32_t m_activeRequests = 0;
   /// Number of requests that the server can process at a time.
   std::uint32_t m_slots = 1;
@@ -53,13 +53,13 @@
 };
 
 /// Load of an open flow, in requests. The load of a server is its number of
-/// requests per slot, plus a penalty for responses slower than those of most
-/// servers: the excess of its response time over kOrdinaryLatency, in multiples
-/// of the median.
+/// requests per slot, plus a penalty for responses slower than those of the
+/// fastest quarter of servers: the excess of its response time over
+/// kOrdinaryLatency, in multiples of the first quartile.
 constexpr double kOpenFlowLoad = 0.05;
 
-/// Response times up to this multiple of the median are normal variation and
-/// add no load.
+/// Response times up to this multiple of the first quartile are normal
+/// variation and add no load.
 constexpr double kOrdinaryLatency = 1.5;
 
 /// Load in requests per slot that is added to servers in other zones. Flows
--- a/tests/unit/ServiceLoadTests.cpp
+++ b/tests/unit/ServiceLoadTests.cpp
@@ -59,6 +59,24 @@
   }
 }
 
+/// More than half of the servers turn slow, so that the median response time is
+/// that of a slow server.
+TEST(ServiceLoad, AvoidsSlowServersThatAreTheMajority)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ServiceLoad load({}, { { "a", 5 } }, seed);
+    for (int server = 1; server <= 3; ++server) {
+      load.SetServer(server, ServerMode::Normal, 5);
+    }
+    load.RunFor(3s);
+    load.TakeCounts();
+    load.RunFor(10s);
+    const LoadCounts counts = load.TakeCounts();
+    EXPECT_EQ(counts.m_failed, 0) << "seed " << seed;
+    EXPECT_LE(counts.m_late, counts.m_inAim / 10) << "seed " << seed;
+  }
+}
+
 TEST(ServiceLoad, LosesFewRequestsToServersThatFallDark)
 {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
