--- a/src/wasabiloom/daemon/BufferedLog.h
+++ b/src/wasabiloom/daemon/BufferedLog.h
@@ -1,4 +1,4 @@
-/// The log of a host that must not wait for it: log4cxx into a LineBuffer.
+/// Log that never blocks: log4cxx appends to a LineBuffer.
 #pragma once
 
 #include "wasabiloom/daemon/LineBuffer.h"
@@ -8,7 +8,7 @@
 
 namespace wasabiloom::daemon {
 
-/// Severity of a line.
+/// Severity of a log line.
 enum class LogLevel : std::uint8_t
 {
   Debug,
@@ -16,17 +16,17 @@
   Warn,
 };
 
-/// Sends log lines through `aBuffer`, which must outlive the log. `aLevel` is
-/// one of debug, info, warn, error. Call on the main thread; may be called
-/// again to change the level.
+/// Writes log lines to `aBuffer`, which must outlive the log. `aLevel` is one
+/// of debug, info, warn and error. Main thread only. May be called again to
+/// change the level.
 void
 SetUpBufferedLog(const std::string& aLevel, LineBuffer& aBuffer);
 
-/// Whether lines of `aLevel` are written. Thread safe.
+/// Whether lines of severity `aLevel` are logged. Thread safe.
 bool
 IsLogged(LogLevel aLevel);
 
-/// One structured line of key=value. Main thread only.
+/// Logs one line of key=value pairs. Main thread only.
 void
 LogLine(LogLevel aLevel, std::string_view aLogger, const std::string& aText);
 
--- a/src/wasabiloom/daemon/Clock.h
+++ b/src/wasabiloom/daemon/Clock.h
@@ -7,12 +7,13 @@
 
 namespace wasabiloom::daemon {
 
-/// Monotonic time that goes on while the machine is suspended. Thread safe.
+/// Monotonic time, including time for which the machine is suspended. Thread
+/// safe.
 base::Instant
 Now();
 
-/// Number that rises with every start of a process on this machine and never
-/// repeats: wall-clock milliseconds and random bits. Thread safe.
+/// Returns a unique number that increases with every start of a process on this
+/// machine. It is made of wall-clock milliseconds and random bits. Thread safe.
 std::uint64_t
 NewIncarnation();
 
--- a/src/wasabiloom/daemon/ControlServer.h
+++ b/src/wasabiloom/daemon/ControlServer.h
@@ -1,4 +1,4 @@
-/// gRPC server for operators and for large messages of peers.
+/// gRPC server for operators and for large messages from peers.
 #pragma once
 
 #include "wasabiloom/base/Result.h"
@@ -8,7 +8,7 @@
 
 namespace wasabiloom::daemon {
 
-/// Serves on its own threads and asks the core's task by message.
+/// Serves on its own threads and sends requests to the core's task as messages.
 class ControlServer
 {
 public:
--- a/src/wasabiloom/daemon/CoreTask.cpp
+++ b/src/wasabiloom/daemon/CoreTask.cpp
@@ -232,7 +232,7 @@
   last = aFrom;
 }
 
-/// One line for each code and second, however many inputs were refused.
+/// Logs refused inputs, at most one line per result code and second.
 void
 CoreTask::ReportRefusals(base::Instant aNow)
 {
--- a/src/wasabiloom/daemon/CoreTask.h
+++ b/src/wasabiloom/daemon/CoreTask.h
@@ -1,4 +1,4 @@
-/// Task that owns the core and every datagram socket of an entry host.
+/// Task that owns the core and all datagram sockets of an entry host.
 #pragma once
 
 #include "wasabiloom/core/HostCore.h"
@@ -40,17 +40,17 @@
   /// safe.
   void Post(std::function<void(core::HostCore&, base::Instant)> aWork);
 
-  /// Adopts a bundle from the config service. Thread safe.
+  /// Applies a bundle from the config service. Thread safe.
   void PostBundle(std::string aSigned);
 
-  /// Adopts a host list. Thread safe.
+  /// Applies a host list. Thread safe.
   void PostHostList(core::HostList aList);
 
-  /// Hands over a peer message that came through gRPC. Thread safe.
+  /// Passes on a peer message that was received through gRPC. Thread safe.
   void PostPeerFrame(std::string aBytes);
 
-  /// Starts a graceful stop; `aOnStopped` runs on the task's thread once
-  /// nothing is left to do. On the task's thread only.
+  /// Starts a graceful stop. `aOnStopped` is called on the task's thread when
+  /// it is complete. On the task's thread only.
   void BeginLeave(std::function<void()> aOnStopped);
 
 private:
--- a/src/wasabiloom/daemon/FactsEndpoint.cpp
+++ b/src/wasabiloom/daemon/FactsEndpoint.cpp
@@ -10,7 +10,7 @@
 
 constexpr int kNoNews = 204;
 
-/// Revision named in the query of `aPath`; 0 when there is none.
+/// Returns the revision in the query of `aPath`; 0 if there is none.
 std::uint64_t
 RevisionIn(const std::string& aPath)
 {
--- a/src/wasabiloom/daemon/FactsEndpoint.h
+++ b/src/wasabiloom/daemon/FactsEndpoint.h
@@ -1,4 +1,4 @@
-/// Answers hosts that ask for the facts this host knows.
+/// HTTP endpoint from which other hosts fetch this host's registry facts.
 #pragma once
 
 #include "wasabiloom/daemon/HttpServer.h"
@@ -8,18 +8,19 @@
 
 namespace wasabiloom::daemon {
 
-/// All facts stay packed for so long, as many hosts may ask at once.
+/// Time for which the encoded facts are cached. Many hosts may request them at
+/// the same time.
 constexpr base::Duration kPackedLife = std::chrono::milliseconds(300);
 
-/// Keeps what it packed last. Lives on the thread that made it.
+/// Caches the last response. Use it on the thread that created it.
 class FactsEndpoint
 {
 public:
-  /// `aHost` must outlive the teller.
+  /// `aHost` must outlive the endpoint.
   explicit FactsEndpoint(const token::TokenHost& aHost);
 
-  /// The answer to a request for `aPath`, whose query may name the revision
-  /// that the asker knows.
+  /// Returns the response to a request for `aPath`. Its query may name the
+  /// revision that the requesting host has.
   HttpReply Answer(const std::string& aPath, base::Instant aNow);
 
 private:
--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -9,16 +9,17 @@
 
 namespace {
 
-/// Refused messages, and members that come and go, are reported no more often.
+/// Minimum interval between log lines on refused messages, and on members.
 constexpr base::Duration kReportInterval = std::chrono::seconds(1);
 
-/// So long after a host became ready, a start of the whole fleet is over.
+/// Time after a host became ready after which a start of the whole fleet is
+/// complete.
 constexpr base::Duration kSettled = std::chrono::seconds(3);
 
-/// Members that one line names.
+/// Maximum number of members named in one log line.
 constexpr std::size_t kNamed = 6;
 
-/// The hosts to call first; the host itself is left out.
+/// Returns the seeds of the settings without the host itself.
 std::vector<base::Ipv4Address>
 FirstPeers(const settings::TokenHostSettings& aSettings)
 {
@@ -118,7 +119,8 @@
   if (m_directory.WaitingCount() == 0 || aNow - m_readySince < kSettled) {
     return;
   }
-  // Long after a start, capable members can be taken to know the facts.
+  // Once the start is complete, members with enough capacity are assumed to
+  // have the facts.
   for (const auto& [zone, members] : m_membership.LiveByZone()) {
     for (const fleet::Member* member : members) {
       if (member->m_capacity >= fleet::kMinListingCapacity) {
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -1,4 +1,4 @@
-/// Task that owns a host's talk with the other hosts of the fleet.
+/// Task for the communication of a host with the other hosts of the fleet.
 #pragma once
 
 #include "wasabiloom/daemon/PeerFacts.h"
@@ -19,8 +19,8 @@
 
 namespace wasabiloom::daemon {
 
-/// Datagrams of the roster and the relay, and facts that are pulled over HTTP.
-/// Lives on the thread that made it.
+/// Exchanges the datagrams of the membership and the relay, and pulls facts
+/// over HTTP. Use it on the thread that created it.
 class FleetLink final
   : public QObject
   , private fleet::MembershipOutbox
@@ -29,7 +29,8 @@
   , private fleet::ProviderDirectoryOutbox
 {
 public:
-  /// `aFacts` must outlive the link. `aOnLearned` is called after news came.
+  /// `aFacts` must outlive the link. `aOnLearned` is called after facts have
+  /// been received.
   FleetLink(const settings::TokenHostSettings& aSettings,
             fleet::LocalFacts& aFacts,
             std::function<void()> aOnLearned);
@@ -38,18 +39,18 @@
   /// Binds the socket and begins the search for facts. Errors: SocketFailed.
   base::Result<void> Start(base::Instant aNow);
 
-  /// Adopts changed hosts to call first.
+  /// Applies changed seeds.
   void Reload(const settings::TokenHostSettings& aSettings);
 
-  /// Tells the fleet what the registry has just answered.
+  /// Sends the changes in the last response of the registry to the fleet.
   void RelayUpdates(base::Instant aNow) { m_relay.Tick(aNow); }
 
-  /// To be called a few times in each probe interval, and more often while
-  /// the host is not ready. `aIsCutOff`: the registry has failed this host
-  /// for some time.
+  /// Must be called several times per probe interval, and more often while the
+  /// host is not ready. `aIsCutOff`: calls on the registry have failed for some
+  /// time.
   void Tick(bool aIsCutOff, base::Instant aNow);
 
-  /// Says farewell.
+  /// Announces the departure of this host.
   void Leave();
 
   /// Starts or stops to watch whether other zones can be reached.
@@ -100,7 +101,7 @@
   fleet::ProviderSearch m_search;
   PeerFacts m_peerFacts;
   base::Instant m_readySince;
-  /// Members whose standing changed since the last line on them.
+  /// Members whose state has changed since the last log line on members.
   std::map<fleet::MemberState, std::vector<base::Ipv4Address>> m_changedMembers;
   base::Instant m_membersReportedAt;
   std::uint64_t m_refused = 0;
--- a/src/wasabiloom/daemon/HttpClient.cpp
+++ b/src/wasabiloom/daemon/HttpClient.cpp
@@ -14,7 +14,7 @@
 
 namespace http = boost::beast::http;
 
-/// Without an acknowledgement for so long, a connection is dead.
+/// Time without an acknowledgement after which a connection has failed.
 constexpr int kUserTimeoutMs = 1500;
 constexpr int kKeepIdleS = 1;
 constexpr int kKeepIntervalS = 1;
@@ -23,7 +23,7 @@
 void
 SetOption(int aDescriptor, int aLevel, int aName, int aValue)
 {
-  // A system that lacks the option still has the call's own timeout.
+  // If the system lacks the option, the timeout of the call still applies.
   (void)setsockopt(aDescriptor, aLevel, aName, &aValue, sizeof(aValue));
 }
 
@@ -39,7 +39,7 @@
 
 } // namespace
 
-/// One answer as it arrives.
+/// Parser of one response.
 struct HttpClient::Exchange
 {
   http::response_parser<http::string_body> m_parser;
@@ -116,7 +116,7 @@
 HttpClient::OnReadable()
 {
   if (!m_onAnswer) {
-    // Bytes that nobody asked for: the connection can't be trusted.
+    // Data without a request: the connection must not be used again.
     m_socket->abort();
     return;
   }
@@ -160,7 +160,7 @@
     }
   }
   if (m_isReused && !m_exchange->m_parser.got_some()) {
-    // The server had closed the idle connection; a read may be repeated.
+    // The server has closed the idle connection. A GET can be repeated.
     m_isReused = false;
     Connect();
     return;
@@ -173,7 +173,7 @@
 {
   m_socket->disconnect(this);
   m_socket->abort();
-  // The socket may be telling this object something right now.
+  // This method may be called from a signal of the socket.
   m_socket.release()->deleteLater();
 }
 
--- a/src/wasabiloom/daemon/HttpClient.h
+++ b/src/wasabiloom/daemon/HttpClient.h
@@ -14,33 +14,34 @@
 
 namespace wasabiloom::daemon {
 
-/// Answer of a server, or why there was none.
+/// Response of a server, or the reason why there is none.
 struct HttpAnswer
 {
-  /// 0 when no whole answer came.
+  /// HTTP status; 0 if no complete response was received.
   int m_status = 0;
   std::string m_body;
   std::string m_problem;
 };
 
-/// Longest body that is accepted, in bytes.
+/// Maximum length of an accepted body, in bytes.
 constexpr std::size_t kMaxBodyBytes = 4 * 1024 * 1024;
 
-/// One GET at a time over one connection, which is kept while it answers. A
-/// connection that fails, or whose answer is late, is dropped for good. Lives
-/// on the thread that made it.
+/// Sends one GET request at a time over a persistent connection. A connection
+/// that fails, or whose response is late, is closed and not used again. Use it
+/// on the thread that created it.
 class HttpClient final : public QObject
 {
 public:
   explicit HttpClient(const base::Endpoint& aServer);
   ~HttpClient() override;
 
-  /// Calls `aOnAnswer` once, later. Precondition: no call is under way.
+  /// Calls `aOnAnswer` once, after this method has returned. Precondition: no
+  /// call is in progress.
   void Get(const std::string& aTarget,
            base::Duration aTimeout,
            std::function<void(const HttpAnswer&)> aOnAnswer);
 
-  /// Whether a call is under way.
+  /// Whether a call is in progress.
   bool IsBusy() const { return m_onAnswer != nullptr; }
 
 private:
--- a/src/wasabiloom/daemon/HttpServer.cpp
+++ b/src/wasabiloom/daemon/HttpServer.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-/// One connection; deletes itself with its socket.
+/// One connection. It is deleted with its socket.
 class HttpServer::Connection final : public QObject
 {
 public:
--- a/src/wasabiloom/daemon/HttpServer.h
+++ b/src/wasabiloom/daemon/HttpServer.h
@@ -1,4 +1,4 @@
-/// HTTP server for small answers: readiness, metrics, facts for peers.
+/// HTTP server for small responses: readiness, metrics, facts for peers.
 #pragma once
 
 #include "wasabiloom/base/Endpoint.h"
@@ -14,7 +14,7 @@
 
 namespace wasabiloom::daemon {
 
-/// What a handler answers.
+/// Response of a handler.
 struct HttpReply
 {
   int m_status = 200;
@@ -22,23 +22,25 @@
   std::string m_body;
 };
 
-/// Answers GET requests, one after another on each connection. Requests with
-/// a body, too long heads and connections beyond the limit are refused. Lives
-/// on the thread that made it.
+/// Answers GET requests, one at a time per connection. Requests with a body,
+/// headers that are too long and connections above the limit are refused. Use
+/// it on the thread that created it.
 class HttpServer final : public QObject
 {
 public:
-  /// Takes the reply to one request; does nothing when the caller has left.
+  /// Sends the response to one request. Has no effect if the client has
+  /// disconnected.
   using Responder = std::function<void(const HttpReply&)>;
 
-  /// Answers for one path, now or later. The next request of the connection
-  /// waits for the reply.
+  /// Handles a request for one path. The response may be sent later; the next
+  /// request on the connection waits for it.
   using Handler = std::function<void(const std::string&, const Responder&)>;
 
   explicit HttpServer(Handler aHandler);
   ~HttpServer() override;
 
-  /// Listens on `aLocal`; may be called for several. Errors: SocketFailed.
+  /// Listens on `aLocal`. May be called for several addresses. Errors:
+  /// SocketFailed.
   base::Result<void> Listen(const base::Endpoint& aLocal);
 
 private:
@@ -50,7 +52,7 @@
   int m_connections = 0;
 };
 
-/// Most connections that one server holds.
+/// Maximum number of connections of one server.
 constexpr int kMaxHttpConnections = 160;
 
 } // namespace wasabiloom::daemon
--- a/src/wasabiloom/daemon/LargeMessageSender.cpp
+++ b/src/wasabiloom/daemon/LargeMessageSender.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-/// One channel for each peer ever addressed.
+/// One channel for each peer that was addressed.
 class LargeMessageSender::Channels
 {
 public:
--- a/src/wasabiloom/daemon/LargeMessageSender.h
+++ b/src/wasabiloom/daemon/LargeMessageSender.h
@@ -1,4 +1,4 @@
-/// Task that delivers peer messages too large for a datagram.
+/// Task that sends peer messages that are too large for a datagram.
 #pragma once
 
 #include "wasabiloom/base/Endpoint.h"
@@ -13,8 +13,8 @@
 
 namespace wasabiloom::daemon {
 
-/// Owns the gRPC channels to the peers and one thread. Delivery is tried
-/// once; the core repeats what is not answered.
+/// Owns the gRPC channels to the peers and one thread. Each message is sent
+/// once; the core sends it again if there is no response.
 class LargeMessageSender
 {
 public:
@@ -23,7 +23,7 @@
   LargeMessageSender(const LargeMessageSender&) = delete;
   LargeMessageSender& operator=(const LargeMessageSender&) = delete;
 
-  /// Queues `aBytes`; drops the oldest message when the queue is full.
+  /// Queues `aBytes`. Drops the oldest message if the queue is full.
   /// Thread safe.
   void Send(const base::Endpoint& aTo, std::string aBytes);
 
--- a/src/wasabiloom/daemon/LineBuffer.cpp
+++ b/src/wasabiloom/daemon/LineBuffer.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// A pipe that polls as writable takes this many bytes without waiting.
+/// Number of bytes that a pipe accepts without blocking when it polls as
+/// writable.
 constexpr std::size_t kPieceBytes = 4096;
 
 bool
--- a/src/wasabiloom/daemon/LineBuffer.h
+++ b/src/wasabiloom/daemon/LineBuffer.h
@@ -1,4 +1,4 @@
-/// Log lines on their way to a descriptor that must never be waited for.
+/// Buffer of log lines that are written to a descriptor without blocking.
 #pragma once
 
 #include "wasabiloom/base/TokenBucket.h"
@@ -11,33 +11,33 @@
 
 namespace wasabiloom::daemon {
 
-/// Most bytes that wait; lines beyond are dropped and counted.
+/// Maximum number of buffered bytes. Further lines are dropped and counted.
 constexpr std::size_t kMaxWaitingBytes = 256 * 1024;
 
-/// A host may use up the allowance of so many seconds at once.
+/// Number of seconds of the allowance that can be used as a burst.
 constexpr std::int64_t kAllowanceBurstS = 10;
 
-/// Collects lines and writes them in large pieces when the descriptor takes
-/// them. One thread at a time.
+/// Collects lines and writes them in large blocks when the descriptor is
+/// writable. Not thread safe.
 class LineBuffer
 {
 public:
   explicit LineBuffer(int aDescriptor);
 
-  /// Limits what is written in the long run; lines beyond are dropped and
-  /// counted. 0 for no limit.
+  /// Limits the average number of bytes written per second. Further lines are
+  /// dropped and counted. 0 for no limit.
   void SetAllowance(std::int64_t aBytesPerSecond);
 
-  /// Adds to the allowance what has accrued until `aNow`.
+  /// Adds the allowance accrued up to `aNow`.
   void Refill(base::Instant aNow);
 
-  /// Adds one line; its end is added.
+  /// Adds one line and a line break.
   void Append(std::string_view aLine);
 
-  /// Writes what the descriptor takes without waiting.
+  /// Writes as much as the descriptor accepts without blocking.
   void Flush();
 
-  /// Lines dropped since the start.
+  /// Number of lines dropped since the start.
   std::uint64_t Dropped() const { return m_dropped; }
 
 private:
--- a/src/wasabiloom/daemon/Log.h
+++ b/src/wasabiloom/daemon/Log.h
@@ -7,7 +7,7 @@
 
 namespace wasabiloom::daemon {
 
-/// Sends log lines to `aFile`, or to standard error when it is empty.
+/// Writes log lines to `aFile`, or to standard error if it is empty.
 /// `aLevel` is one of debug, info, warn, error. Call once, before threads
 /// start.
 void
@@ -21,15 +21,15 @@
 std::string
 Quote(const std::string& aText);
 
-/// One line for one placement of a flow. Thread safe.
+/// Logs the placement of a flow. Thread safe.
 void
 LogFlow(const core::FlowDecision& aDecision);
 
-/// One line for one decision about a request. Thread safe.
+/// Logs a decision on a request. Thread safe.
 void
 LogRequest(const request::RequestDecision& aDecision);
 
-/// One line for one event; errors are warnings. Thread safe.
+/// Logs an event. Errors are logged as warnings. Thread safe.
 void
 LogEvent(const core::HostEvent& aEvent);
 
--- a/src/wasabiloom/daemon/MetricsTask.cpp
+++ b/src/wasabiloom/daemon/MetricsTask.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-/// Registry and metric families, kept for the life of the task.
+/// Registry and metric families of the task.
 struct MetricsTask::Families
 {
   explicit Families(const std::string& aBind)
--- a/src/wasabiloom/daemon/MetricsTask.h
+++ b/src/wasabiloom/daemon/MetricsTask.h
@@ -10,7 +10,7 @@
 
 namespace wasabiloom::daemon {
 
-/// Serves the latest snapshot it was given.
+/// Serves the latest published snapshot.
 class MetricsTask
 {
 public:
@@ -22,7 +22,7 @@
   MetricsTask(const MetricsTask&) = delete;
   MetricsTask& operator=(const MetricsTask&) = delete;
 
-  /// Publishes a snapshot. One thread at a time.
+  /// Publishes a snapshot. Not thread safe.
   void Publish(const core::Counters& aCounters,
                const core::HostStatus& aStatus);
 
--- a/src/wasabiloom/daemon/PacketPath.h
+++ b/src/wasabiloom/daemon/PacketPath.h
@@ -1,4 +1,4 @@
-/// The path of a packet through the daemon: fabric, core, backend server.
+/// Forwards packets from the fabric through the core to backend servers.
 #pragma once
 
 #include "wasabiloom/core/HostCore.h"
@@ -13,8 +13,8 @@
 using RefusalHandler =
   std::function<void(base::ResultCode, const base::Endpoint&)>;
 
-/// Carries batches of packets from the fabric's socket through the core and
-/// out of the same socket. One thread at a time.
+/// Passes batches of packets from the fabric's socket through the core and
+/// sends them on the same socket. Not thread safe.
 class PacketPath
 {
 public:
@@ -27,10 +27,10 @@
   /// number of packets received.
   std::size_t CarryBatch(base::Instant aNow);
 
-  /// Carries out the core's verdict on one packet; the caller flushes.
+  /// Executes the core's decision on one packet. The caller flushes.
   void Carry(const Received& aDatagram, const core::PacketVerdict& aVerdict);
 
-  /// Sends what Carry queued.
+  /// Sends the packets that Carry has queued.
   void Flush() { m_socket.Flush(); }
 
 private:
--- a/src/wasabiloom/daemon/PeerFacts.cpp
+++ b/src/wasabiloom/daemon/PeerFacts.cpp
@@ -34,7 +34,7 @@
   m_client->Get(target,
                 kPeerTimeout,
                 [this, asked = m_client.get()](const HttpAnswer& aAnswer) {
-                  // A call that was given up may still end.
+                  // An abandoned request may still complete.
                   if (asked == m_client.get()) {
                     OnAnswer(aAnswer);
                   }
@@ -45,7 +45,7 @@
 PeerFacts::DropClient()
 {
   if (m_client != nullptr) {
-    // The client may be the one whose answer is being handled.
+    // This method may be called from a handler of that client.
     m_client.release()->deleteLater();
   }
 }
@@ -55,7 +55,7 @@
 {
   DropClient();
   if (aAnswer.m_status != kOk) {
-    // A peer that is away, or knows nothing newer, is no news.
+    // The peer is unreachable or has no newer facts.
     m_onFailed();
     return;
   }
--- a/src/wasabiloom/daemon/PeerFacts.h
+++ b/src/wasabiloom/daemon/PeerFacts.h
@@ -1,4 +1,4 @@
-/// Asks another host for the facts that it knows.
+/// Fetches registry facts from another host.
 #pragma once
 
 #include "wasabiloom/base/Endpoint.h"
@@ -12,25 +12,25 @@
 
 namespace wasabiloom::daemon {
 
-/// Path under which a host tells its facts; `?after=REVISION` may follow.
+/// Path under which a host provides its facts; `?after=REVISION` may follow.
 constexpr const char* kFactsPath = "/facts";
 
-/// How long a peer may take to answer.
+/// Time limit for the response of a peer.
 constexpr base::Duration kPeerTimeout = std::chrono::milliseconds(400);
 
-/// Asks one peer at a time. Lives on the thread that made it.
+/// Sends one request at a time. Use it on the thread that created it.
 class PeerFacts
 {
 public:
   using OnFacts = std::function<void(const registry::RegistryUpdate&)>;
   using OnFailed = std::function<void()>;
 
-  /// `aOnFailed` is called when the peer answered nothing usable.
+  /// `aOnFailed` is called if the peer sends no usable response.
   PeerFacts(OnFacts aOnFacts, OnFailed aOnFailed);
   ~PeerFacts();
 
-  /// Asks `aPeer` for facts newer than `aRevision`, unless it is being asked
-  /// already; a call to another peer is given up for this one.
+  /// Requests the facts after `aRevision` from `aPeer`. Has no effect if a
+  /// request to it is in progress; a request to another peer is abandoned.
   void Ask(const base::Endpoint& aPeer, std::uint64_t aRevision);
 
 private:
--- a/src/wasabiloom/daemon/PlatformWatch.cpp
+++ b/src/wasabiloom/daemon/PlatformWatch.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-/// Thread that repeats one kind of waiting read.
+/// Thread that repeats one kind of blocking read.
 class PlatformWatch::Loop
 {
 public:
@@ -82,7 +82,7 @@
   }
 
 protected:
-  /// Performs one waiting read and hands over what it brought.
+  /// Performs one blocking read and passes on its result.
   virtual grpc::Status ReadOnce(grpc::ClientContext& aContext) = 0;
 
 private:
--- a/src/wasabiloom/daemon/PlatformWatch.h
+++ b/src/wasabiloom/daemon/PlatformWatch.h
@@ -10,15 +10,15 @@
 
 namespace wasabiloom::daemon {
 
-/// Receives what the platform publishes; called on the watch's threads.
+/// Receives the platform's publications on the threads of the watch.
 struct PlatformHandlers
 {
   std::function<void(std::string)> m_onBundle;
   std::function<void(core::HostList)> m_onHostList;
 };
 
-/// Two threads, each with one waiting read at a time, and a back-off with
-/// jitter while the platform does not answer.
+/// Two threads, each with one blocking read at a time. Failed reads are
+/// repeated with exponential backoff and jitter.
 class PlatformWatch
 {
 public:
@@ -26,7 +26,7 @@
   PlatformWatch(const settings::HostSettings& aSettings,
                 PlatformHandlers aHandlers);
 
-  /// Cancels the waiting reads.
+  /// Cancels the blocking reads.
   ~PlatformWatch();
   PlatformWatch(const PlatformWatch&) = delete;
   PlatformWatch& operator=(const PlatformWatch&) = delete;
--- a/src/wasabiloom/daemon/ProbeTask.h
+++ b/src/wasabiloom/daemon/ProbeTask.h
@@ -1,4 +1,4 @@
-/// Asks backend servers how they are, over HTTP.
+/// Reads the status pages of backend servers over HTTP.
 #pragma once
 
 #include "wasabiloom/base/Endpoint.h"
@@ -12,23 +12,23 @@
 
 namespace wasabiloom::daemon {
 
-/// Called with the service and what the backend server said.
+/// Called with the service and the report of the backend server.
 using ReportHandler =
   std::function<void(const steering::ServiceId&, const health::TargetReport&)>;
 
-/// Reads a status page: a JSON object with "state" ("warm" or "cold") and
-/// "flows". False when `aPage` is anything else. Thread safe.
+/// Parses a status page: a JSON object with "state" ("warm" or "cold") and
+/// "flows". Returns false if `aPage` is anything else. Thread safe.
 bool
 ReadStatusPage(std::string_view aPage, health::TargetReport& aReport);
 
-/// HTTP client on the Qt event loop of the thread it lives in. A backend
-/// server that does not answer in time, or not in that form, gives no report.
+/// HTTP client on the Qt event loop of the thread that created it. A backend
+/// server that sends no valid page in time yields no report.
 class ProbeTask final : public QObject
 {
 public:
   explicit ProbeTask(ReportHandler aOnReport);
 
-  /// Asks once.
+  /// Requests the page once.
   void Probe(const steering::ServiceId& aService,
              const steering::TargetId& aTarget,
              const base::Endpoint& aStatus);
--- a/src/wasabiloom/daemon/SettingsWatch.cpp
+++ b/src/wasabiloom/daemon/SettingsWatch.cpp
@@ -15,7 +15,7 @@
                              std::function<void(const std::string&)> aOnChange)
   : m_path(std::move(aPath))
 {
-  // The first look only remembers.
+  // The first check only stores the text.
   Check();
   m_onChange = std::move(aOnChange);
   m_timer.setInterval(kInterval);
--- a/src/wasabiloom/daemon/SettingsWatch.h
+++ b/src/wasabiloom/daemon/SettingsWatch.h
@@ -1,4 +1,4 @@
-/// Notices that a settings file has changed, with a signal or without.
+/// Detects changes of a settings file, with and without a signal.
 #pragma once
 
 #include <QObject>
@@ -9,16 +9,16 @@
 
 namespace wasabiloom::daemon {
 
-/// Reads a file now and then and hands its text over when it differs from
-/// what was seen last. Lives on the thread that made it.
+/// Reads a file periodically and passes on its text when it has changed. Use it
+/// on the thread that created it.
 class SettingsWatch final : public QObject
 {
 public:
-  /// Remembers what the file at `aPath` holds now.
+  /// Stores the current text of the file at `aPath` for comparison.
   SettingsWatch(std::string aPath,
                 std::function<void(const std::string&)> aOnChange);
 
-  /// Looks at once.
+  /// Checks the file at once.
   void Check();
 
 private:
--- a/src/wasabiloom/daemon/SignalWatch.h
+++ b/src/wasabiloom/daemon/SignalWatch.h
@@ -9,9 +9,9 @@
 
 namespace wasabiloom::daemon {
 
-/// Calls `aOnStop` at the first SIGTERM or SIGINT and ends the process at the
-/// second; calls `aOnReload`, if any, at each SIGHUP. Create it on the main
-/// thread, before other threads start.
+/// Calls `aOnStop` at the first SIGTERM or SIGINT, and ends the process at the
+/// second. Calls `aOnReload`, if set, at each SIGHUP. Must be created on the
+/// main thread before other threads start.
 class SignalWatch final : public QObject
 {
 public:
--- a/src/wasabiloom/daemon/TokenHostProgram.cpp
+++ b/src/wasabiloom/daemon/TokenHostProgram.cpp
@@ -78,7 +78,7 @@
 RunTokenHost(const TokenHostProgram& aProgram, int argc, char** argv)
 {
   std::signal(SIGPIPE, SIG_IGN);
-  // Qt's own event loop takes fewer system calls than GLib's.
+  // Qt's own event loop makes fewer system calls than GLib's.
   qputenv("QT_NO_GLIB", "1");
   QCoreApplication application(argc, argv);
   options::options_description known(aProgram.m_name +
--- a/src/wasabiloom/daemon/TokenHostProgram.h
+++ b/src/wasabiloom/daemon/TokenHostProgram.h
@@ -11,11 +11,11 @@
 
 namespace wasabiloom::daemon {
 
-/// What differs between the platforms that the program runs on.
+/// Parts of the program that depend on the platform it runs on.
 struct TokenHostProgram
 {
   std::string m_name;
-  /// Settings file when the command line names none; may be empty.
+  /// Settings file to use if the command line names none. May be empty.
   std::string m_defaultSettings;
   const packet::TokenCodec& m_codec;
   std::function<std::unique_ptr<registry::RegistryClient>(
@@ -24,7 +24,8 @@
   std::string m_readinessPath;
 };
 
-/// Runs until a signal stops it; returns the exit code. Call once, from main.
+/// Runs until a signal stops it and returns the exit code. Call it once, from
+/// main.
 int
 RunTokenHost(const TokenHostProgram& aProgram, int argc, char** argv);
 
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -12,27 +12,29 @@
 
 constexpr std::chrono::milliseconds kTick{ 50 };
 
-/// While the host is not ready, every moment costs callers.
+/// Tick interval until the host is ready. Callers wait for it.
 constexpr std::chrono::milliseconds kTickUnready{ 10 };
 
-/// A stopping host stays at least so long, so that the fabric can notice.
+/// Minimum time for which a stopping host runs, so that the fabric can take it
+/// out of rotation.
 constexpr base::Duration kLeaveAtLeast = std::chrono::milliseconds(1500);
 
-/// A stopping host ends when no packet came for so long.
+/// Time without packets after which a stopping host ends.
 constexpr base::Duration kLeaveQuiet = std::chrono::milliseconds(700);
 
-/// A stopping host ends so long before it would be killed.
+/// Time before the end of the grace period at which a stopping host ends.
 constexpr base::Duration kLeaveMargin = std::chrono::milliseconds(700);
 
 constexpr base::Duration kReportInterval = std::chrono::seconds(1);
 
-/// A host that the registry has not answered for so long asks its peers.
+/// Time without a response of the registry after which a host asks its peers.
 constexpr base::Duration kCutOffAfter = std::chrono::milliseconds(600);
 
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
-/// Share of a bound that is used up by the host's own waits.
+/// Share of a bound that the host's own delays may take: kBoundUsed parts of
+/// kBoundParts.
 constexpr int kBoundParts = 8;
 constexpr int kBoundUsed = 7;
 
--- a/src/wasabiloom/daemon/TokenHostTask.h
+++ b/src/wasabiloom/daemon/TokenHostTask.h
@@ -20,37 +20,37 @@
 
 namespace wasabiloom::daemon {
 
-/// The outer world's manners that the task needs.
+/// Platform-specific parts of the task.
 struct TokenHostAdapter
 {
   const packet::TokenCodec& m_codec;
   registry::RegistryClient& m_registry;
-  /// Path under which readiness is asked for.
+  /// Path of the readiness check.
   std::string m_readinessPath;
 };
 
 /// Drives a TokenHost from sockets and timers on the Qt event loop of the
-/// thread it lives in.
+/// thread that created it.
 class TokenHostTask final
   : public QObject
   , private token::TokenEffects
 {
 public:
-  /// What the adapter refers to, and `aLog`, must outlive the task.
+  /// The references in `aAdapter`, and `aLog`, must outlive the task.
   TokenHostTask(const settings::TokenHostSettings& aSettings,
                 const TokenHostAdapter& aAdapter,
                 LineBuffer& aLog);
   ~TokenHostTask() override;
 
-  /// Binds the sockets, makes the first call, starts the timers. Errors:
-  /// SocketFailed.
+  /// Binds the sockets, sends the first call on the registry and starts the
+  /// timers. Errors: SocketFailed.
   base::Result<void> Start();
 
-  /// Adopts changed settings; those that need a restart are left and logged.
+  /// Applies changed settings. Logs if some of them need a restart.
   void Reload(const settings::TokenHostSettings& aSettings);
 
-  /// Says no to readiness, goes on carrying packets until none come or the
-  /// grace ends, then calls `aOnStopped`.
+  /// Fails the readiness check, forwards packets until none arrive or the grace
+  /// period ends, and then calls `aOnStopped`.
   void BeginLeave(std::function<void()> aOnStopped);
 
 private:
--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-/// The metrics by name.
+/// Metric families by name.
 struct TokenMetrics::Families
 {
   prometheus::Registry m_registry;
--- a/src/wasabiloom/daemon/TokenMetrics.h
+++ b/src/wasabiloom/daemon/TokenMetrics.h
@@ -8,7 +8,7 @@
 
 namespace wasabiloom::daemon {
 
-/// Counters and histograms of one host. One thread at a time.
+/// Counters and histograms of one host. Not thread safe.
 class TokenMetrics
 {
 public:
@@ -17,13 +17,13 @@
   TokenMetrics(const TokenMetrics&) = delete;
   TokenMetrics& operator=(const TokenMetrics&) = delete;
 
-  /// A call on the registry took `aSpan`.
+  /// Records the duration of a call on the registry.
   void ObserveCall(base::Duration aSpan);
 
-  /// A batch of packets was carried in `aSpan`.
+  /// Records the time in which a batch of packets was forwarded.
   void ObserveBatch(base::Duration aSpan);
 
-  /// The metrics as text, with the host's totals.
+  /// Returns the metrics as text, including the totals of `aHost`.
   std::string Write(const token::TokenHost& aHost);
 
 private:
--- a/src/wasabiloom/daemon/UdpSocket.cpp
+++ b/src/wasabiloom/daemon/UdpSocket.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-/// Storage that the kernel reads and writes; allocated once.
+/// Buffers of the system calls, allocated once.
 struct UdpSocket::Buffers
 {
   std::array<std::array<std::byte, kDatagramBytes>, kBatchSize> m_in;
@@ -148,7 +148,7 @@
                                buffers.m_outHeaders.data() + sent,
                                static_cast<unsigned>(buffers.m_queued - sent),
                                MSG_DONTWAIT);
-    // A refused datagram (no listener, full queue) must not block the rest.
+    // A datagram that cannot be sent (no listener, full queue) is skipped.
     sent += count > 0 ? static_cast<std::size_t>(count) : 1;
   }
   buffers.m_queued = 0;
--- a/src/wasabiloom/daemon/UdpSocket.h
+++ b/src/wasabiloom/daemon/UdpSocket.h
@@ -11,13 +11,13 @@
 
 namespace wasabiloom::daemon {
 
-/// Datagrams of one batch.
+/// Maximum number of datagrams in a batch.
 constexpr std::size_t kBatchSize = 64;
 
 /// Receive buffer of one datagram, in bytes.
 constexpr std::size_t kDatagramBytes = 2048;
 
-/// One received datagram; the bytes live until the next Receive.
+/// One received datagram. Its bytes are valid until the next Receive.
 struct Received
 {
   std::span<const std::byte> m_bytes;
@@ -25,7 +25,7 @@
   bool m_truncated = false;
 };
 
-/// Non-blocking socket bound to one address. One thread at a time.
+/// Non-blocking socket bound to one address. Not thread safe.
 class UdpSocket
 {
 public:
@@ -37,14 +37,15 @@
   UdpSocket(const UdpSocket&) = delete;
   UdpSocket& operator=(const UdpSocket&) = delete;
 
-  /// Receives up to kBatchSize datagrams without waiting.
+  /// Receives up to kBatchSize datagrams without blocking.
   std::span<const Received> Receive();
 
   /// Queues `aBytes`, which must stay valid until Flush. Flushes by itself
   /// when a batch is full.
   void Queue(std::span<const std::byte> aBytes, const base::Endpoint& aTo);
 
-  /// Sends what is queued; datagrams the kernel has no room for are lost.
+  /// Sends the queued datagrams. Those that the kernel has no room for are
+  /// lost.
   void Flush();
 
   /// Sends one datagram at once.
--- a/src/wasabiloom/daemon/UpdateTiming.cpp
+++ b/src/wasabiloom/daemon/UpdateTiming.cpp
@@ -6,15 +6,16 @@
 
 namespace {
 
-/// Shares of the bound, in hundredths. News comes at the latest after a wait
-/// and a pace, so patience must be longer than both together.
+/// Shares of the bound, in hundredths. An update arrives at the latest after
+/// one watch and one pause, so the largest update age must exceed their sum.
 constexpr int kWaitShare = 27;
 constexpr int kPaceShare = 20;
 constexpr int kPatienceShare = 60;
 constexpr int kStaggerShare = 3;
 constexpr int kWhole = 100;
 
-/// Share of the time to be in touch again that a wait may use up.
+/// Share of the time within which a host must be up to date again that a watch
+/// may take.
 constexpr int kTouchUsed = 7;
 constexpr int kTouchParts = 8;
 
--- a/src/wasabiloom/daemon/UpdateTiming.h
+++ b/src/wasabiloom/daemon/UpdateTiming.h
@@ -1,4 +1,4 @@
-/// Waits that follow from the bound within which news must be in force.
+/// Delays derived from the time within which a change must be in force.
 #pragma once
 
 #include "wasabiloom/fleet/FactRelay.h"
@@ -7,15 +7,16 @@
 
 namespace wasabiloom::daemon {
 
-/// How a host reads the registry. Thread safe.
+/// Returns the timing of registry calls. Thread safe.
 registry::ReaderTiming
 ReaderTimingOf(const settings::TokenHostSettings& aSettings);
 
-/// When a host that hears nothing reads for itself. Thread safe.
+/// Returns when a host that receives no updates calls the registry itself.
+/// Thread safe.
 fleet::RelayTiming
 RelayTimingOf(const settings::TokenHostSettings& aSettings);
 
-/// How much a host can pass on; see fleet::Member. Thread safe.
+/// Returns the capacity of a host; see fleet::Member. Thread safe.
 std::uint32_t
 CapacityOf(const settings::TokenHostSettings& aSettings);
 
