--- a/bench/FactsBench.cpp
+++ b/bench/FactsBench.cpp
@@ -59,15 +59,15 @@
 }
 
 void
-Learn(registry::RegistryCache& aBeliefs,
+Learn(registry::RegistryCache& aCache,
       const std::vector<registry::Fact>& aFacts)
 {
   std::set<std::pair<registry::FactKind, std::string>> found;
   for (const registry::Fact& fact : aFacts) {
-    aBeliefs.Apply(fact, tests::At(0));
+    aCache.Apply(fact, tests::At(0));
     found.emplace(fact.m_kind, fact.m_name);
   }
-  aBeliefs.EndListing(aFacts.size() + 1, found, tests::At(0));
+  aCache.EndListing(aFacts.size() + 1, found, tests::At(0));
 }
 
 double
--- a/scenario/BaselineHost.cpp
+++ b/scenario/BaselineHost.cpp
@@ -37,7 +37,7 @@
 {
 }
 
-core::PacketVerdict
+core::PacketDecision
 BaselineHost::OnPacket(std::span<const std::byte> aPacket, base::Instant aNow)
 {
   const packet::ParsedPacket parsed = packet::ParsePacket(aPacket);
@@ -69,7 +69,7 @@
            base::ResultCode::Ok };
 }
 
-core::PacketVerdict
+core::PacketDecision
 BaselineHost::OnRelayedPacket(std::span<const std::byte> aPacket,
                               base::HostId /*aFrom*/,
                               base::Instant aNow)
--- a/scenario/BaselineHost.h
+++ b/scenario/BaselineHost.h
@@ -18,11 +18,11 @@
                core::HostIdentity aIdentity,
                core::Effects& aEffects);
 
-  core::PacketVerdict OnPacket(std::span<const std::byte> aPacket,
-                               base::Instant aNow) override;
-  core::PacketVerdict OnRelayedPacket(std::span<const std::byte> aPacket,
-                                      base::HostId aFrom,
-                                      base::Instant aNow) override;
+  core::PacketDecision OnPacket(std::span<const std::byte> aPacket,
+                                base::Instant aNow) override;
+  core::PacketDecision OnRelayedPacket(std::span<const std::byte> aPacket,
+                                       base::HostId aFrom,
+                                       base::Instant aNow) override;
   void OnPeer(const peer::Datagram& aDatagram, base::Instant aNow) override;
   void OnBundle(const std::string& aSigned, base::Instant aNow) override;
   void OnHostList(const core::HostList& aList, base::Instant aNow) override;
--- a/scenario/Fleet.cpp
+++ b/scenario/Fleet.cpp
@@ -89,7 +89,7 @@
 {
   Host& host = *m_hosts[static_cast<std::size_t>(aHost)];
   const auto now = m_queue.Now();
-  const core::PacketVerdict verdict =
+  const core::PacketDecision decision =
     aFrom.m_value == 0
       ? host.m_process->OnPacket(*aPacket.m_bytes, now)
       : host.m_process->OnRelayedPacket(*aPacket.m_bytes, aFrom, now);
@@ -97,18 +97,18 @@
   if (m_trace.Follows(aPacket.m_tag / kTagKinds)) {
     m_trace.Print(HostName(aHost) + " packet kind " +
                     std::to_string(aPacket.m_tag % kTagKinds) + " action " +
-                    std::to_string(static_cast<int>(verdict.m_action)) +
-                    " to " + ToString(verdict.m_to) + " code " +
-                    std::to_string(static_cast<int>(verdict.m_code)),
+                    std::to_string(static_cast<int>(decision.m_action)) +
+                    " to " + ToString(decision.m_to) + " code " +
+                    std::to_string(static_cast<int>(decision.m_code)),
                   now);
   }
-  switch (verdict.m_action) {
+  switch (decision.m_action) {
     case core::PacketAction::Forward:
-      m_listener->OnForwarded(aPacket, verdict.m_to, HostName(aHost));
+      m_listener->OnForwarded(aPacket, decision.m_to, HostName(aHost));
       break;
     case core::PacketAction::Relay: {
       m_measures.Count("packets_relayed");
-      const int to = HostAt(verdict.m_to.m_address);
+      const int to = HostAt(decision.m_to.m_address);
       if (!m_links.Carries(aHost, to)) {
         m_listener->OnLost(aPacket, "relay lost");
         break;
@@ -121,7 +121,7 @@
     }
     case core::PacketAction::Drop:
       m_listener->OnLost(aPacket,
-                         "refused " + std::string(ToString(verdict.m_code)));
+                         "refused " + std::string(ToString(decision.m_code)));
       break;
     case core::PacketAction::Consumed:
       break;
--- a/scenario/HostUnderTest.cpp
+++ b/scenario/HostUnderTest.cpp
@@ -17,14 +17,14 @@
   {
   }
 
-  core::PacketVerdict OnPacket(std::span<const std::byte> aPacket,
-                               base::Instant aNow) override
+  core::PacketDecision OnPacket(std::span<const std::byte> aPacket,
+                                base::Instant aNow) override
   {
     return m_core.OnPacket(aPacket, aNow);
   }
-  core::PacketVerdict OnRelayedPacket(std::span<const std::byte> aPacket,
-                                      base::HostId aFrom,
-                                      base::Instant aNow) override
+  core::PacketDecision OnRelayedPacket(std::span<const std::byte> aPacket,
+                                       base::HostId aFrom,
+                                       base::Instant aNow) override
   {
     return m_core.OnRelayedPacket(aPacket, aFrom, aNow);
   }
--- a/scenario/HostUnderTest.h
+++ b/scenario/HostUnderTest.h
@@ -15,9 +15,9 @@
 public:
   virtual ~HostUnderTest();
 
-  virtual core::PacketVerdict OnPacket(std::span<const std::byte> aPacket,
-                                       base::Instant aNow) = 0;
-  virtual core::PacketVerdict OnRelayedPacket(
+  virtual core::PacketDecision OnPacket(std::span<const std::byte> aPacket,
+                                        base::Instant aNow) = 0;
+  virtual core::PacketDecision OnRelayedPacket(
     std::span<const std::byte> aPacket,
     base::HostId aFrom,
     base::Instant aNow) = 0;
--- a/src/wasabiloom/core/HostCore.cpp
+++ b/src/wasabiloom/core/HostCore.cpp
@@ -54,14 +54,14 @@
 
 HostCore::~HostCore() = default;
 
-PacketVerdict
+PacketDecision
 HostCore::OnPacket(std::span<const std::byte> aPacket, base::Instant aNow)
 {
   NoticePause(aNow);
   return m_router.Route(aPacket, kNoHost, aNow);
 }
 
-PacketVerdict
+PacketDecision
 HostCore::OnRelayedPacket(std::span<const std::byte> aPacket,
                           base::HostId aFrom,
                           base::Instant aNow)
--- a/src/wasabiloom/core/HostCore.h
+++ b/src/wasabiloom/core/HostCore.h
@@ -22,7 +22,7 @@
 constexpr base::Duration kTickInterval = std::chrono::milliseconds(20);
 
 /// Decides everything an entry host does. The driver feeds inputs with the
-/// time of its monotonic clock and carries out verdicts and effects. Equal
+/// time of its monotonic clock and carries out decisions and effects. Equal
 /// inputs give equal outputs. One thread at a time.
 class HostCore final : private peer::Outbox
 {
@@ -35,13 +35,13 @@
   HostCore& operator=(const HostCore&) = delete;
 
   /// An IPv4 packet from the fabric. Allocates nothing for a flow it knows.
-  PacketVerdict OnPacket(std::span<const std::byte> aPacket,
-                         base::Instant aNow);
+  PacketDecision OnPacket(std::span<const std::byte> aPacket,
+                          base::Instant aNow);
 
   /// An IPv4 packet that the peer `aFrom` relayed.
-  PacketVerdict OnRelayedPacket(std::span<const std::byte> aPacket,
-                                base::HostId aFrom,
-                                base::Instant aNow);
+  PacketDecision OnRelayedPacket(std::span<const std::byte> aPacket,
+                                 base::HostId aFrom,
+                                 base::Instant aNow);
 
   /// Loads what OnPacket will need for `aPacket` into the processor's cache.
   void Prefetch(std::span<const std::byte> aPacket);
--- a/src/wasabiloom/core/Inputs.h
+++ b/src/wasabiloom/core/Inputs.h
@@ -48,13 +48,14 @@
 };
 
 /// The core's answer for one packet.
-struct PacketVerdict
+struct PacketDecision
 {
   PacketAction m_action = PacketAction::Drop;
   base::Endpoint m_to;
   base::ResultCode m_code = base::ResultCode::Ok;
 
-  friend auto operator<=>(const PacketVerdict&, const PacketVerdict&) = default;
+  friend auto operator<=>(const PacketDecision&,
+                          const PacketDecision&) = default;
 };
 
 } // namespace wasabiloom::core
--- a/src/wasabiloom/core/PacketRouter.cpp
+++ b/src/wasabiloom/core/PacketRouter.cpp
@@ -58,7 +58,7 @@
   }
 }
 
-PacketVerdict
+PacketDecision
 PacketRouter::Route(std::span<const std::byte> aPacket,
                     base::HostId aRelayedFrom,
                     base::Instant aNow)
@@ -81,7 +81,7 @@
   return RouteConnection(*service, view, aRelayedFrom, aNow);
 }
 
-PacketVerdict
+PacketDecision
 PacketRouter::RouteConnection(ServiceRuntime& aService,
                               const packet::PacketView& aView,
                               base::HostId aRelayedFrom,
@@ -151,7 +151,7 @@
   return situation;
 }
 
-PacketVerdict
+PacketDecision
 PacketRouter::RouteRequest(ServiceRuntime& aService,
                            const packet::PacketView& aView,
                            base::HostId aRelayedFrom,
@@ -159,7 +159,7 @@
 {
   ++m_counters.m_requestPackets;
   return base::Handle(
-    [&]() -> base::Result<PacketVerdict> {
+    [&]() -> base::Result<PacketDecision> {
       BOOST_LEAF_AUTO(envelope, wire::DecodeEnvelope(aView.m_payload));
       const bool fromCaller =
         envelope.m_kind == request::EnvelopeKind::Request ||
@@ -184,19 +184,19 @@
           break;
       }
       aService.Requests().OnCallerDatagram(aView.m_flow, envelope, aNow);
-      return PacketVerdict{ PacketAction::Consumed, {}, ResultCode::Ok };
+      return PacketDecision{ PacketAction::Consumed, {}, ResultCode::Ok };
     },
     [&](const base::Problem& aProblem) { return Refuse(aProblem.m_code); });
 }
 
-PacketVerdict
+PacketDecision
 PacketRouter::Refuse(ResultCode aCode)
 {
   m_counters.Refuse(aCode);
   return { PacketAction::Drop, {}, aCode };
 }
 
-PacketVerdict
+PacketDecision
 PacketRouter::RelayTo(base::HostId aHost)
 {
   const peer::PeerAddress* peer = m_membership.Find(aHost);
--- a/src/wasabiloom/core/PacketRouter.h
+++ b/src/wasabiloom/core/PacketRouter.h
@@ -26,28 +26,28 @@
 
   /// Decides on one IPv4 packet. `aRelayedFrom` is zero when it came from the
   /// fabric. Allocates nothing for a flow the host knows.
-  PacketVerdict Route(std::span<const std::byte> aPacket,
-                      base::HostId aRelayedFrom,
-                      base::Instant aNow);
+  PacketDecision Route(std::span<const std::byte> aPacket,
+                       base::HostId aRelayedFrom,
+                       base::Instant aNow);
 
   /// Loads what Route will need into the processor's cache.
   void Prefetch(std::span<const std::byte> aPacket) const;
 
 private:
-  PacketVerdict RouteConnection(ServiceRuntime& aService,
-                                const packet::PacketView& aView,
-                                base::HostId aRelayedFrom,
-                                base::Instant aNow);
-  PacketVerdict RouteRequest(ServiceRuntime& aService,
-                             const packet::PacketView& aView,
-                             base::HostId aRelayedFrom,
-                             base::Instant aNow);
+  PacketDecision RouteConnection(ServiceRuntime& aService,
+                                 const packet::PacketView& aView,
+                                 base::HostId aRelayedFrom,
+                                 base::Instant aNow);
+  PacketDecision RouteRequest(ServiceRuntime& aService,
+                              const packet::PacketView& aView,
+                              base::HostId aRelayedFrom,
+                              base::Instant aNow);
   /// What the fleet says of a request's home; the request's own part is left.
   request::RequestOwnership SituationOf(base::HostId aHome,
                                         base::HostId aPrevious,
                                         base::HostId aRelayedFrom) const;
-  PacketVerdict Refuse(base::ResultCode aCode);
-  PacketVerdict RelayTo(base::HostId aHost);
+  PacketDecision Refuse(base::ResultCode aCode);
+  PacketDecision RelayTo(base::HostId aHost);
   void LogPlacement(const ServiceRuntime& aService,
                     const packet::PacketView& aView,
                     const steering::SteerResult& aResult,
--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -56,7 +56,7 @@
   , m_directory(*this)
   , m_search(NewIncarnation(), m_membership, aFacts, *this)
   , m_peerFacts(
-      [this](const registry::RegistryUpdate& aNews) { OnPulled(aNews); },
+      [this](const registry::RegistryUpdate& aUpdate) { OnPulled(aUpdate); },
       [this] { m_search.OnPullFailed(Now()); })
 {
   SetFirstPeers();
@@ -138,10 +138,10 @@
 }
 
 void
-FleetLink::OnPulled(const registry::RegistryUpdate& aNews)
+FleetLink::OnPulled(const registry::RegistryUpdate& aUpdate)
 {
   const base::Instant now = Now();
-  m_facts.OnPeerUpdate(aNews, now);
+  m_facts.OnPeerUpdate(aUpdate, now);
   m_relay.OnPullFinished(now);
   m_search.Tick(false, now);
   m_onLearned();
@@ -191,13 +191,13 @@
   const base::Ipv4Address from = aMessage.m_sender.m_address;
   m_membership.OnMessage(aMessage, aNow);
   m_reachability.OnMessage(aMessage);
-  if (const auto* news =
+  if (const auto* update =
         std::get_if<fleet::RelayedUpdate>(&aMessage.m_content)) {
-    m_relay.OnRelayedUpdate(from, *news, aNow);
+    m_relay.OnRelayedUpdate(from, *update, aNow);
     m_onLearned();
-  } else if (const auto* tellers =
+  } else if (const auto* providers =
                std::get_if<fleet::Providers>(&aMessage.m_content)) {
-    m_search.OnProviders(*tellers, aNow);
+    m_search.OnProviders(*providers, aNow);
   } else if (std::holds_alternative<fleet::FactsWanted>(aMessage.m_content)) {
     m_directory.OnFactsWanted(aMessage.m_sender, aNow);
   } else if (std::holds_alternative<fleet::FactsKnown>(aMessage.m_content)) {
@@ -243,9 +243,9 @@
 
 void
 FleetLink::SendProviders(base::Ipv4Address aTo,
-                         const fleet::Providers& aTellers)
+                         const fleet::Providers& aProviders)
 {
-  SendContent(aTo, aTellers);
+  SendContent(aTo, aProviders);
 }
 
 void
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -78,10 +78,10 @@
   void PullInitialFacts(base::Ipv4Address aFrom,
                         std::uint64_t aRevision) override;
   void SendProviders(base::Ipv4Address aTo,
-                     const fleet::Providers& aTellers) override;
+                     const fleet::Providers& aProviders) override;
 
   void OnReadable();
-  void OnPulled(const registry::RegistryUpdate& aNews);
+  void OnPulled(const registry::RegistryUpdate& aUpdate);
   void OnMessage(const fleet::Message& aMessage, base::Instant aNow);
   void RegisterProviders(base::Instant aNow);
   void ReportMembers(base::Instant aNow);
--- a/src/wasabiloom/daemon/PacketPath.cpp
+++ b/src/wasabiloom/daemon/PacketPath.cpp
@@ -31,17 +31,17 @@
 
 void
 PacketPath::Carry(const Received& aDatagram,
-                  const core::PacketVerdict& aVerdict)
+                  const core::PacketDecision& aDecision)
 {
-  switch (aVerdict.m_action) {
+  switch (aDecision.m_action) {
     case core::PacketAction::Forward:
     case core::PacketAction::Relay:
-      m_socket.Queue(aDatagram.m_bytes, aVerdict.m_to);
+      m_socket.Queue(aDatagram.m_bytes, aDecision.m_to);
       break;
     case core::PacketAction::Consumed:
       break;
     case core::PacketAction::Drop:
-      m_onRefusal(aVerdict.m_code, aDatagram.m_from);
+      m_onRefusal(aDecision.m_code, aDatagram.m_from);
       break;
   }
 }
--- a/src/wasabiloom/daemon/PacketPath.h
+++ b/src/wasabiloom/daemon/PacketPath.h
@@ -28,7 +28,7 @@
   std::size_t CarryBatch(base::Instant aNow);
 
   /// Executes the core's decision on one packet. The caller flushes.
-  void Carry(const Received& aDatagram, const core::PacketVerdict& aVerdict);
+  void Carry(const Received& aDatagram, const core::PacketDecision& aDecision);
 
   /// Sends the packets that Carry has queued.
   void Flush() { m_socket.Flush(); }
--- a/src/wasabiloom/daemon/PeerFacts.cpp
+++ b/src/wasabiloom/daemon/PeerFacts.cpp
@@ -61,8 +61,8 @@
   }
   base::Handle(
     [&]() -> base::Result<void> {
-      BOOST_LEAF_AUTO(news, registry::DecodeUpdate(aAnswer.m_body));
-      m_onFacts(news);
+      BOOST_LEAF_AUTO(update, registry::DecodeUpdate(aAnswer.m_body));
+      m_onFacts(update);
       return {};
     },
     [this](const base::Problem& aProblem) {
--- a/src/wasabiloom/fleet/FactRelay.cpp
+++ b/src/wasabiloom/fleet/FactRelay.cpp
@@ -9,16 +9,16 @@
 
 namespace {
 
-/// Returns `aNews`, without its facts if it is too long for a datagram. Its
+/// Returns `aUpdate`, without its facts if it is too long for a datagram. Its
 /// receivers then pull the facts.
 registry::RegistryUpdate
-Shortened(registry::RegistryUpdate aNews)
+Shortened(registry::RegistryUpdate aUpdate)
 {
-  if (registry::EncodeUpdate(aNews).size() > kMaxUpdateBytes) {
-    aNews.m_facts.clear();
-    aNews.m_fromRevision = aNews.m_toRevision;
+  if (registry::EncodeUpdate(aUpdate).size() > kMaxUpdateBytes) {
+    aUpdate.m_facts.clear();
+    aUpdate.m_fromRevision = aUpdate.m_toRevision;
   }
-  return aNews;
+  return aUpdate;
 }
 
 } // namespace
@@ -64,9 +64,9 @@
     Turn() >= kStaggered &&
     silent >= static_cast<std::ptrdiff_t>(kSilentForStandby);
   if (isLeftToOthers) {
-    const std::chrono::duration<double> patience = m_timing.m_maxUpdateAge;
+    const std::chrono::duration<double> maxAge = m_timing.m_maxUpdateAge;
     return std::chrono::duration_cast<base::Duration>(
-      patience * (kStandbyAgeFactor + m_standbyShare));
+      maxAge * (kStandbyAgeFactor + m_standbyShare));
   }
   return m_timing.m_maxUpdateAge +
          std::min(Turn(), kStaggered) * m_timing.m_stagger;
@@ -102,38 +102,38 @@
   if (m_facts.AnsweredAt() <= m_toldAt) {
     return;
   }
-  const auto news = m_facts.UpdateSince(m_toldBefore, aNow);
-  if (!news) {
+  const auto update = m_facts.UpdateSince(m_toldBefore, aNow);
+  if (!update) {
     return;
   }
   m_toldAt = m_facts.AnsweredAt();
   if (m_toldLast == 0) {
     // Changes that precede the first answer to this host are already known to
     // the other hosts.
-    m_toldLast = news->m_toRevision;
-    m_toldBefore = news->m_toRevision;
+    m_toldLast = update->m_toRevision;
+    m_toldBefore = update->m_toRevision;
     return;
   }
   m_toldBefore = m_toldLast;
-  m_toldLast = news->m_toRevision;
-  TellFleet(Shortened(*news));
+  m_toldLast = update->m_toRevision;
+  TellFleet(Shortened(*update));
 }
 
 void
-FactRelay::TellFleet(const registry::RegistryUpdate& aNews)
+FactRelay::TellFleet(const registry::RegistryUpdate& aUpdate)
 {
   std::vector<RelayCopy> copies;
   for (const auto& [zone, members] : m_roster.LiveByZone()) {
     if (zone != m_roster.Self().m_zone && !members.empty()) {
-      copies.push_back({ Shuffle(members).front(), { aNews, true, {} } });
+      copies.push_back({ Shuffle(members).front(), { aUpdate, true, {} } });
     }
   }
-  AddZone(aNews, copies);
+  AddZone(aUpdate, copies);
   m_outbox.SendUpdates(copies);
 }
 
 void
-FactRelay::AddZone(const registry::RegistryUpdate& aNews,
+FactRelay::AddZone(const registry::RegistryUpdate& aUpdate,
                    std::vector<RelayCopy>& aCopies)
 {
   const auto own = m_roster.LiveByZone().find(m_roster.Self().m_zone);
@@ -144,7 +144,7 @@
   const auto heads = static_cast<std::size_t>(
     std::ceil(std::sqrt(static_cast<double>(peers.size()))));
   for (std::size_t head = 0; head < heads; ++head) {
-    RelayedUpdate relayed{ aNews, false, {} };
+    RelayedUpdate relayed{ aUpdate, false, {} };
     for (std::size_t i = head + heads; i < peers.size(); i += heads) {
       relayed.m_passTo.push_back(peers[i]);
     }
@@ -178,12 +178,12 @@
                            const RelayedUpdate& aRelayed,
                            base::Instant aNow)
 {
-  const registry::RegistryUpdate& news = aRelayed.m_update;
+  const registry::RegistryUpdate& update = aRelayed.m_update;
   const std::uint64_t known = m_facts.Revision();
   const Duty duty{ aRelayed.m_toZone,
                    aRelayed.m_passTo,
-                   std::min(news.m_fromRevision, known) };
-  switch (m_facts.OnPeerUpdate(news, aNow)) {
+                   std::min(update.m_fromRevision, known) };
+  switch (m_facts.OnPeerUpdate(update, aNow)) {
     case registry::UpdateOutcome::Gap:
       m_duty = duty;
       m_outbox.Pull(aFrom, known);
@@ -211,11 +211,11 @@
   if (!aDuty.m_toZone && aDuty.m_passTo.empty()) {
     return;
   }
-  const auto news = m_facts.UpdateSince(aDuty.m_from, aNow);
-  if (!news) {
+  const auto update = m_facts.UpdateSince(aDuty.m_from, aNow);
+  if (!update) {
     return;
   }
-  const registry::RegistryUpdate shortened = Shortened(*news);
+  const registry::RegistryUpdate shortened = Shortened(*update);
   std::vector<RelayCopy> copies;
   if (aDuty.m_toZone) {
     AddZone(shortened, copies);
--- a/src/wasabiloom/fleet/FactRelay.h
+++ b/src/wasabiloom/fleet/FactRelay.h
@@ -122,9 +122,9 @@
   std::size_t Turn() const;
   base::Duration Patience(base::Instant aNow) const;
   void TellSilence(base::Instant aNow);
-  void TellFleet(const registry::RegistryUpdate& aNews);
-  /// Adds the copies that distribute `aNews` in this host's zone.
-  void AddZone(const registry::RegistryUpdate& aNews,
+  void TellFleet(const registry::RegistryUpdate& aUpdate);
+  /// Adds the copies that distribute `aUpdate` in this host's zone.
+  void AddZone(const registry::RegistryUpdate& aUpdate,
                std::vector<RelayCopy>& aCopies);
   void PassOn(const Duty& aDuty, base::Instant aNow);
   /// Returns the members in a random order in which hosts of higher capacity
--- a/src/wasabiloom/fleet/LocalFacts.h
+++ b/src/wasabiloom/fleet/LocalFacts.h
@@ -17,7 +17,7 @@
 
   /// Applies an update from a peer.
   virtual registry::UpdateOutcome OnPeerUpdate(
-    const registry::RegistryUpdate& aNews,
+    const registry::RegistryUpdate& aUpdate,
     base::Instant aNow) = 0;
 
   /// Returns what a peer that knows all changes up to `aRevision` lacks; empty
@@ -46,9 +46,10 @@
   virtual std::uint64_t Revision() const = 0;
 
   /// Sets that the host calls the registry only when its last update is older
-  /// than `aPatience`, and, if `aStandsBy`, that it retries less often after
-  /// failures; see registry::Reader.
-  virtual void SetMaxUpdateAge(base::Duration aPatience, bool aStandsBy) = 0;
+  /// than `aMaxUpdateAge`, and, if `aStandsBy`, that it retries less often
+  /// after failures; see registry::Reader.
+  virtual void SetMaxUpdateAge(base::Duration aMaxUpdateAge,
+                               bool aStandsBy) = 0;
 
   /// Sets that the host does not list the registry before `aUntil`, as other
   /// hosts may provide the facts sooner.
--- a/src/wasabiloom/fleet/MessageCodec.cpp
+++ b/src/wasabiloom/fleet/MessageCodec.cpp
@@ -91,14 +91,14 @@
     m_out.mutable_wanted();
   }
   void operator()(const FactsKnown& /*aKnown*/) const { m_out.mutable_known(); }
-  void operator()(const Providers& aTellers) const
+  void operator()(const Providers& aProviders) const
   {
     wire::Tellers& out = *m_out.mutable_tellers();
-    for (const base::Ipv4Address address : aTellers.m_addresses) {
+    for (const base::Ipv4Address address : aProviders.m_addresses) {
       out.add_addresses(address.m_bits);
     }
-    out.set_listing(aTellers.m_listersBefore);
-    out.set_waits(aTellers.m_awaitsConfiguration);
+    out.set_listing(aProviders.m_listersBefore);
+    out.set_waits(aProviders.m_awaitsConfiguration);
   }
   void operator()(const RegistrySilent& /*aSilent*/) const
   {
--- a/src/wasabiloom/fleet/ProviderDirectory.h
+++ b/src/wasabiloom/fleet/ProviderDirectory.h
@@ -45,7 +45,7 @@
   virtual ~ProviderDirectoryOutbox();
 
   virtual void SendProviders(base::Ipv4Address aTo,
-                             const Providers& aTellers) = 0;
+                             const Providers& aProviders) = 0;
 };
 
 /// Each host has one directory; the seed hosts of the settings are asked most.
--- a/src/wasabiloom/fleet/ProviderSearch.cpp
+++ b/src/wasabiloom/fleet/ProviderSearch.cpp
@@ -130,21 +130,22 @@
 }
 
 void
-ProviderSearch::OnProviders(const Providers& aTellers, base::Instant aNow)
+ProviderSearch::OnProviders(const Providers& aProviders, base::Instant aNow)
 {
   if (!m_searching) {
     return;
   }
   m_noted = true;
-  if (aTellers.m_awaitsConfiguration) {
+  if (aProviders.m_awaitsConfiguration) {
     Hold(aNow + kWaitsForOthers);
-  } else if (aTellers.m_listersBefore >= kMaxListersPerDirectory &&
+  } else if (aProviders.m_listersBefore >= kMaxListersPerDirectory &&
              !m_facts.IsReady()) {
     Hold(m_begunAt + Draw(kListLateFrom, kListLateTo));
   }
-  if (!aTellers.m_addresses.empty() && !m_pullingSince) {
+  if (!aProviders.m_addresses.empty() && !m_pullingSince) {
     m_pullingSince = aNow;
-    m_outbox.PullInitialFacts(aTellers.m_addresses.front(), m_facts.Revision());
+    m_outbox.PullInitialFacts(aProviders.m_addresses.front(),
+                              m_facts.Revision());
   }
 }
 
--- a/src/wasabiloom/fleet/ProviderSearch.h
+++ b/src/wasabiloom/fleet/ProviderSearch.h
@@ -87,7 +87,7 @@
   void Tick(bool aIsCutOff, base::Instant aNow);
 
   /// Handles the answer of a directory to a request for a provider.
-  void OnProviders(const Providers& aTellers, base::Instant aNow);
+  void OnProviders(const Providers& aProviders, base::Instant aNow);
 
   /// Handles the failure of a pull from a provider.
   void OnPullFailed(base::Instant aNow);
--- a/src/wasabiloom/fleet/SwimMembership.cpp
+++ b/src/wasabiloom/fleet/SwimMembership.cpp
@@ -21,7 +21,7 @@
 constexpr base::Duration kExpireInterval = std::chrono::milliseconds(200);
 
 /// Number of members that this host tells of its departure directly.
-constexpr std::size_t kFarewells = 6;
+constexpr std::size_t kDepartureMessages = 6;
 
 } // namespace
 
@@ -337,13 +337,13 @@
   const int doublings =
     std::max<int>(kSuspicionDoublings,
                   static_cast<int>(std::bit_width(m_index.All().size())));
-  const base::Duration patience =
+  const base::Duration suspicionTime =
     kSuspicionTime * doublings / kSuspicionDoublings;
   std::vector<Member> silent;
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const base::Duration age = aNow - entry->second.m_since;
     const Member& member = entry->second.m_member;
-    if (member.m_state == MemberState::Suspect && age > patience) {
+    if (member.m_state == MemberState::Suspect && age > suspicionTime) {
       silent.push_back(member);
     }
     const bool forget =
@@ -384,7 +384,7 @@
   m_self.m_state = MemberState::Gone;
   std::vector<base::Ipv4Address> told = m_index.SameZone();
   std::ranges::shuffle(told, m_random);
-  told.resize(std::min(told.size(), kFarewells));
+  told.resize(std::min(told.size(), kDepartureMessages));
   for (const base::Ipv4Address peer : told) {
     m_outbox.SendTo(peer, Message{ m_self, {}, MemberList{} });
   }
--- a/src/wasabiloom/placing/PassiveHealthCheck.cpp
+++ b/src/wasabiloom/placing/PassiveHealthCheck.cpp
@@ -11,15 +11,15 @@
 } // namespace
 
 void
-PassiveHealthCheck::Raise(Doubt& aDoubt, base::Instant aNow)
+PassiveHealthCheck::Raise(HealthRecord& aHealth, base::Instant aNow)
 {
-  if (aNow < aDoubt.m_until) {
+  if (aNow < aHealth.m_until) {
     return;
   }
-  const std::uint32_t doublings = std::min(aDoubt.m_raised, kMaxDoublings);
-  ++aDoubt.m_raised;
-  aDoubt.m_until =
-    aNow + std::min(kFirstDoubt * (1U << doublings), kLongestDoubt);
+  const std::uint32_t doublings = std::min(aHealth.m_raised, kMaxDoublings);
+  ++aHealth.m_raised;
+  aHealth.m_until =
+    aNow + std::min(kFirstSuspicion * (1U << doublings), kMaxSuspicion);
 }
 
 void
@@ -33,28 +33,29 @@
 PassiveHealthCheck::OnDataRetransmitted(std::uint32_t aToken,
                                         base::Instant aNow)
 {
-  Doubt& doubt = m_known[aToken];
-  ++doubt.m_stalls;
-  if (doubt.m_stalls >= kStallsForDoubt) {
-    doubt.m_stalls = 0;
-    Raise(doubt, aNow);
+  HealthRecord& health = m_known[aToken];
+  ++health.m_stalls;
+  if (health.m_stalls >= kStallsForSuspicion) {
+    health.m_stalls = 0;
+    Raise(health, aNow);
   }
 }
 
 void
 PassiveHealthCheck::OnResponse(std::uint32_t aToken, base::Instant aNow)
 {
-  Doubt& doubt = m_known[aToken];
-  doubt = Doubt{};
-  doubt.m_aliveAt = aNow;
+  HealthRecord& health = m_known[aToken];
+  health = HealthRecord{};
+  health.m_aliveAt = aNow;
 }
 
 void
 PassiveHealthCheck::Sweep(base::Instant aNow)
 {
   std::erase_if(m_known, [&](const auto& aEntry) {
-    const Doubt& doubt = aEntry.second;
-    return aNow - std::max(doubt.m_until, doubt.m_aliveAt) > kDoubtMemory;
+    const HealthRecord& health = aEntry.second;
+    return aNow - std::max(health.m_until, health.m_aliveAt) >
+           kHealthRecordLife;
   });
 }
 
--- a/src/wasabiloom/placing/PassiveHealthCheck.h
+++ b/src/wasabiloom/placing/PassiveHealthCheck.h
@@ -10,16 +10,16 @@
 
 /// Time for which a server is first suspect. Each further suspicion doubles the
 /// time, up to the longest, until a caller receives new data from the server.
-constexpr base::Duration kFirstDoubt = std::chrono::milliseconds(1500);
-constexpr base::Duration kLongestDoubt = std::chrono::seconds(12);
+constexpr base::Duration kFirstSuspicion = std::chrono::milliseconds(1500);
+constexpr base::Duration kMaxSuspicion = std::chrono::seconds(12);
 
 /// Time after the end of the last suspicion and the last response after which
 /// the record of a server is removed.
-constexpr base::Duration kDoubtMemory = std::chrono::seconds(30);
+constexpr base::Duration kHealthRecordLife = std::chrono::seconds(30);
 
 /// Number of data retransmissions without a response in between that make a
 /// server suspect.
-constexpr std::uint32_t kStallsForDoubt = 2;
+constexpr std::uint32_t kStallsForSuspicion = 2;
 
 /// Tracks for each backend server whether callers receive responses from it.
 /// Servers are named by token; whole zones can be tracked under a key of their
@@ -32,7 +32,7 @@
   void OnOpeningRetransmitted(std::uint32_t aToken, base::Instant aNow);
 
   /// Records that a caller retransmitted data on a flow to `aToken`. The server
-  /// is suspect after kStallsForDoubt of them.
+  /// is suspect after kStallsForSuspicion of them.
   void OnDataRetransmitted(std::uint32_t aToken, base::Instant aNow);
 
   /// Records that a caller received new data from `aToken`. This ends the
@@ -47,13 +47,13 @@
   base::Instant LastResponseAt(std::uint32_t aToken) const;
 
   /// Removes the records of servers without a suspicion or a response in the
-  /// last kDoubtMemory.
+  /// last kHealthRecordLife.
   void Sweep(base::Instant aNow);
 
   std::size_t Size() const { return m_known.size(); }
 
 private:
-  struct Doubt
+  struct HealthRecord
   {
     base::Instant m_until;
     base::Instant m_aliveAt;
@@ -61,9 +61,9 @@
     std::uint32_t m_raised = 0;
   };
 
-  static void Raise(Doubt& aDoubt, base::Instant aNow);
+  static void Raise(HealthRecord& aHealth, base::Instant aNow);
 
-  std::unordered_map<std::uint32_t, Doubt> m_known;
+  std::unordered_map<std::uint32_t, HealthRecord> m_known;
 };
 
 } // namespace wasabiloom::placing
--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -287,20 +287,20 @@
 }
 
 std::string
-EncodeUpdate(const RegistryUpdate& aNews, std::string_view aPacked)
+EncodeUpdate(const RegistryUpdate& aUpdate, std::string_view aPacked)
 {
-  wire::News news;
-  news.set_from(aNews.m_fromRevision);
-  news.set_to(aNews.m_toRevision);
-  news.set_age_ns(aNews.m_age.count());
-  news.set_facts(aPacked.data(), aPacked.size());
-  return base::Seal(kFormat, news.SerializeAsString());
+  wire::News message;
+  message.set_from(aUpdate.m_fromRevision);
+  message.set_to(aUpdate.m_toRevision);
+  message.set_age_ns(aUpdate.m_age.count());
+  message.set_facts(aPacked.data(), aPacked.size());
+  return base::Seal(kFormat, message.SerializeAsString());
 }
 
 std::string
-EncodeUpdate(const RegistryUpdate& aNews)
+EncodeUpdate(const RegistryUpdate& aUpdate)
 {
-  return EncodeUpdate(aNews, PackFacts(aNews.m_facts));
+  return EncodeUpdate(aUpdate, PackFacts(aUpdate.m_facts));
 }
 
 base::Result<RegistryUpdate>
@@ -308,14 +308,14 @@
 {
   BOOST_LEAF_AUTO(body, base::Unseal(kFormat, aBytes));
   try {
-    wire::News news;
-    if (!news.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+    wire::News message;
+    if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
       throw std::invalid_argument("registry update cannot be parsed");
     }
-    return RegistryUpdate{ news.from(),
-                           news.to(),
-                           base::Duration(news.age_ns()),
-                           UnpackFacts(news.facts()) };
+    return RegistryUpdate{ message.from(),
+                           message.to(),
+                           base::Duration(message.age_ns()),
+                           UnpackFacts(message.facts()) };
   } catch (const std::exception& failure) {
     return base::Fail(base::ResultCode::PeerMessageMalformed, failure.what());
   }
--- a/src/wasabiloom/registry/FactsCodec.h
+++ b/src/wasabiloom/registry/FactsCodec.h
@@ -13,14 +13,14 @@
 std::string
 PackFacts(const std::vector<Fact>& aFacts);
 
-/// Encodes `aNews` with `aPacked`, the result of PackFacts, in place of its own
-/// facts. Thread safe.
+/// Encodes `aUpdate` with `aPacked`, the result of PackFacts, in place of its
+/// own facts. Thread safe.
 std::string
-EncodeUpdate(const RegistryUpdate& aNews, std::string_view aPacked);
+EncodeUpdate(const RegistryUpdate& aUpdate, std::string_view aPacked);
 
-/// Encodes `aNews` with its facts. Thread safe.
+/// Encodes `aUpdate` with its facts. Thread safe.
 std::string
-EncodeUpdate(const RegistryUpdate& aNews);
+EncodeUpdate(const RegistryUpdate& aUpdate);
 
 /// Decodes the result of EncodeUpdate. Errors: PeerMessageMalformed. Thread
 /// safe.
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -26,11 +26,11 @@
 
 Reader::Reader(const ReaderTiming& aTiming,
                std::uint64_t aSeed,
-               RegistryCache& aBeliefs,
+               RegistryCache& aCache,
                ReaderEvents& aEvents)
   : m_timing(aTiming)
   , m_random(aSeed)
-  , m_beliefs(aBeliefs)
+  , m_cache(aCache)
   , m_events(aEvents)
 {
 }
@@ -58,7 +58,7 @@
   // registry responds again. So does a watch that confirms a listing, and one
   // that replaces the missing updates of other hosts.
   const bool atOnce =
-    m_failures > 0 || !m_confirmed || m_patience > base::Duration::zero();
+    m_failures > 0 || !m_confirmed || m_maxUpdateAge > base::Duration::zero();
   call.m_wait = atOnce ? base::Duration::zero() : m_timing.m_watchWait;
   call.m_timeout = call.m_wait + m_timing.m_answerTimeout;
   return call;
@@ -85,7 +85,7 @@
   m_listing = false;
   m_confirmed = m_confirmed || !m_mayBeStale;
   m_revision = std::max(m_revision, m_listRevision);
-  m_beliefs.EndListing(m_listRevision, m_found, aNow);
+  m_cache.EndListing(m_listRevision, m_found, aNow);
   m_events.OnListed(m_listRevision, m_found.size());
   m_found.clear();
 }
@@ -123,26 +123,26 @@
 }
 
 UpdateOutcome
-Reader::OnPeerUpdate(const RegistryUpdate& aNews, base::Instant aNow)
+Reader::OnPeerUpdate(const RegistryUpdate& aUpdate, base::Instant aNow)
 {
-  if (aNews.m_toRevision < m_revision) {
+  if (aUpdate.m_toRevision < m_revision) {
     return UpdateOutcome::Stale;
   }
-  if (aNews.m_fromRevision > m_revision) {
+  if (aUpdate.m_fromRevision > m_revision) {
     return UpdateOutcome::Gap;
   }
-  if (aNews.m_toRevision > m_revision) {
-    Take(aNews.m_facts, Origin::Peer, aNow);
-    if (aNews.m_fromRevision == 0) {
+  if (aUpdate.m_toRevision > m_revision) {
+    Take(aUpdate.m_facts, Origin::Peer, aNow);
+    if (aUpdate.m_fromRevision == 0) {
       Names found;
-      AddNames(found, aNews.m_facts);
-      m_beliefs.EndListing(aNews.m_toRevision, found, aNow);
+      AddNames(found, aUpdate.m_facts);
+      m_cache.EndListing(aUpdate.m_toRevision, found, aNow);
     }
-    m_revision = aNews.m_toRevision;
+    m_revision = aUpdate.m_toRevision;
   }
-  m_learnedAt = std::max(m_learnedAt, aNow - aNews.m_age);
+  m_learnedAt = std::max(m_learnedAt, aNow - aUpdate.m_age);
   m_confirmed = true;
-  if (aNews.m_age < m_patience) {
+  if (aUpdate.m_age < m_maxUpdateAge) {
     // Another host reaches the registry on behalf of this one.
     m_failures = 0;
   }
@@ -156,7 +156,7 @@
 std::optional<RegistryUpdate>
 Reader::FreshnessUpdate(base::Instant aNow) const
 {
-  if (!m_confirmed || !m_beliefs.IsComplete()) {
+  if (!m_confirmed || !m_cache.IsComplete()) {
     return std::nullopt;
   }
   return RegistryUpdate{ m_revision, m_revision, aNow - m_learnedAt, {} };
@@ -165,21 +165,21 @@
 std::optional<RegistryUpdate>
 Reader::UpdateSince(std::uint64_t aRevision, base::Instant aNow) const
 {
-  auto news = FreshnessUpdate(aNow);
-  if (!news) {
+  auto update = FreshnessUpdate(aNow);
+  if (!update) {
     return std::nullopt;
   }
-  const auto changed = m_beliefs.FactsSince(aRevision, aNow);
-  news->m_fromRevision = changed ? aRevision : 0;
-  news->m_facts = changed ? *changed : *m_beliefs.FactsSince(0, aNow);
-  return news;
+  const auto changed = m_cache.FactsSince(aRevision, aNow);
+  update->m_fromRevision = changed ? aRevision : 0;
+  update->m_facts = changed ? *changed : *m_cache.FactsSince(0, aNow);
+  return update;
 }
 
 bool
 Reader::OthersRead(base::Instant aNow) const
 {
   return m_confirmed && !m_listing && !m_hurried && m_failures == 0 &&
-         aNow - m_learnedAt < m_patience;
+         aNow - m_learnedAt < m_maxUpdateAge;
 }
 
 void
@@ -198,7 +198,7 @@
              base::Instant aNow)
 {
   for (const Fact& fact : aFacts) {
-    m_events.OnFact(fact, m_beliefs.Apply(fact, aNow, aOrigin), aOrigin);
+    m_events.OnFact(fact, m_cache.Apply(fact, aNow, aOrigin), aOrigin);
   }
 }
 
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -102,7 +102,7 @@
   /// and must differ between hosts.
   Reader(const ReaderTiming& aTiming,
          std::uint64_t aSeed,
-         RegistryCache& aBeliefs,
+         RegistryCache& aCache,
          ReaderEvents& aEvents);
 
   /// Returns the call that is due at `aNow`, or one of kind None. After a call
@@ -115,7 +115,7 @@
   void OnFailure(const CallFailure& aFailure, base::Instant aNow);
 
   /// Applies an update from another host.
-  UpdateOutcome OnPeerUpdate(const RegistryUpdate& aNews, base::Instant aNow);
+  UpdateOutcome OnPeerUpdate(const RegistryUpdate& aUpdate, base::Instant aNow);
 
   /// Returns an update for a host that knows all changes up to `aRevision`. The
   /// update holds all current facts, from revision 0 on, when the changes since
@@ -130,11 +130,11 @@
   std::optional<RegistryUpdate> FreshnessUpdate(base::Instant aNow) const;
 
   /// Makes the reader call the registry only when its knowledge is older than
-  /// `aPatience`; zero for a host that reads on behalf of others. With
+  /// `aMaxUpdateAge`; zero for a host that reads on behalf of others. With
   /// `aStandsBy`, the backoff after failures starts at the standby value.
-  void SetMaxUpdateAge(base::Duration aPatience, bool aStandsBy = false)
+  void SetMaxUpdateAge(base::Duration aMaxUpdateAge, bool aStandsBy = false)
   {
-    m_patience = aPatience;
+    m_maxUpdateAge = aMaxUpdateAge;
     m_standsBy = aStandsBy;
   }
 
@@ -177,7 +177,7 @@
 
   ReaderTiming m_timing;
   std::mt19937_64 m_random;
-  RegistryCache& m_beliefs;
+  RegistryCache& m_cache;
   ReaderEvents& m_events;
   bool m_listing = true;
   bool m_inCall = false;
@@ -185,7 +185,7 @@
   bool m_confirmed = false;
   bool m_mayBeStale = true;
   bool m_hurried = false;
-  base::Duration m_patience{ 0 };
+  base::Duration m_maxUpdateAge{ 0 };
   bool m_standsBy = false;
   std::string m_after;
   std::uint64_t m_listRevision = 0;
--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -19,18 +19,18 @@
 /// no change. Entries are read some time after they were written, so the
 /// remaining time is an upper bound.
 bool
-SaysTheSame(const ServerRecord& aBelief,
+SaysTheSame(const ServerRecord& aRecord,
             const Server& aServer,
             base::Instant aNow)
 {
-  Server known = aBelief.m_server;
+  Server known = aRecord.m_server;
   known.m_coldRemaining = aServer.m_coldRemaining;
-  const bool wasCold = aNow < aBelief.m_coldUntil;
+  const bool wasCold = aNow < aRecord.m_coldUntil;
   const bool isCold = aServer.m_coldRemaining > base::Duration::zero();
   const bool isColdAgain =
     isCold && (!wasCold || aNow + aServer.m_coldRemaining >
-                             aBelief.m_coldUntil + kSameCold);
-  return aBelief.m_presence == Presence::Listed && known == aServer &&
+                             aRecord.m_coldUntil + kSameCold);
+  return aRecord.m_presence == Presence::Listed && known == aServer &&
          !isColdAgain;
 }
 
@@ -163,17 +163,17 @@
 }
 
 FactOutcome
-RegistryCache::RemoveServer(ServerRecord& aBelief,
+RegistryCache::RemoveServer(ServerRecord& aRecord,
                             std::uint64_t aRevision,
                             base::Instant aNow)
 {
-  aBelief.m_revision = aRevision;
-  if (!TakesFlows(aBelief.m_presence)) {
+  aRecord.m_revision = aRevision;
+  if (!TakesFlows(aRecord.m_presence)) {
     return FactOutcome::Unchanged;
   }
-  aBelief.m_changeRevision = aRevision;
-  const bool saidFarewell = aBelief.m_server.m_state == ServerState::Draining;
-  SetPresence(aBelief, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
+  aRecord.m_changeRevision = aRevision;
+  const bool saidFarewell = aRecord.m_server.m_state == ServerState::Draining;
+  SetPresence(aRecord, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
   return FactOutcome::Adopted;
 }
 
@@ -210,32 +210,32 @@
 }
 
 void
-RegistryCache::SetPresence(ServerRecord& aBelief,
+RegistryCache::SetPresence(ServerRecord& aRecord,
                            Presence aPresence,
                            base::Instant aNow)
 {
-  if (aBelief.m_presence != aPresence ||
-      aBelief.m_presenceSince == base::Instant{}) {
-    aBelief.m_presence = aPresence;
-    aBelief.m_presenceSince = aNow;
+  if (aRecord.m_presence != aPresence ||
+      aRecord.m_presenceSince == base::Instant{}) {
+    aRecord.m_presence = aPresence;
+    aRecord.m_presenceSince = aNow;
   }
   if (aPresence == Presence::Listed) {
-    m_away.erase(aBelief.m_token);
+    m_away.erase(aRecord.m_token);
   } else {
-    m_away.insert(aBelief.m_token);
+    m_away.insert(aRecord.m_token);
   }
   if (TakesFlows(aPresence)) {
     m_byService.Add(
-      aBelief.m_server.m_service, aBelief.m_server.m_zone, aBelief);
+      aRecord.m_server.m_service, aRecord.m_server.m_zone, aRecord);
   } else {
-    m_byService.Remove(aBelief);
+    m_byService.Remove(aRecord);
   }
 }
 
 FactOutcome
 RegistryCache::ApplyZone(const Fact& aFact, base::Instant aNow)
 {
-  ZoneBelief& zone = m_zones[aFact.m_name];
+  ZoneRecord& zone = m_zones[aFact.m_name];
   if (aFact.m_revision <= zone.m_revision) {
     return aFact.m_revision == zone.m_revision ? FactOutcome::Unchanged
                                                : FactOutcome::Stale;
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -150,7 +150,7 @@
   std::size_t ServerCount() const { return m_byToken.size(); }
 
 private:
-  struct ZoneBelief
+  struct ZoneRecord
   {
     bool m_out = false;
     base::Instant m_since;
@@ -170,11 +170,11 @@
                          base::Instant aNow,
                          Origin aOrigin);
   FactOutcome ApplyZone(const Fact& aFact, base::Instant aNow);
-  FactOutcome RemoveServer(ServerRecord& aBelief,
+  FactOutcome RemoveServer(ServerRecord& aRecord,
                            std::uint64_t aRevision,
                            base::Instant aNow);
   ServerRecord& Add(const Server& aServer);
-  void SetPresence(ServerRecord& aBelief,
+  void SetPresence(ServerRecord& aRecord,
                    Presence aPresence,
                    base::Instant aNow);
   void Forget(std::uint32_t aToken);
@@ -194,7 +194,7 @@
   ServiceIndex m_byService;
   /// Tokens of the starts that are not listed.
   std::set<std::uint32_t> m_away;
-  std::map<std::string, ZoneBelief> m_zones;
+  std::map<std::string, ZoneRecord> m_zones;
 };
 
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/settings/TokenHostSettings.h
+++ b/src/wasabiloom/settings/TokenHostSettings.h
@@ -33,7 +33,8 @@
   base::Endpoint m_registry;
   /// A zone that is taken out gets no more packets after this.
   base::Duration m_zoneOut{ 0 };
-  /// A host that lost touch must know the news again within this.
+  /// Time within which a host that lost its connection must be up to date
+  /// again.
   base::Duration m_inTouch{ 0 };
   /// Whatever the registry publishes must be in force within this.
   base::Duration m_updateDeadline{ 0 };
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -28,10 +28,10 @@
 } // namespace
 
 ServerSelector::ServerSelector(std::string aOwnZone,
-                               const registry::RegistryCache& aBeliefs,
+                               const registry::RegistryCache& aCache,
                                FlowTracker& aFlows)
   : m_ownZone(std::move(aOwnZone))
-  , m_beliefs(aBeliefs)
+  , m_cache(aCache)
   , m_flows(aFlows)
 {
 }
@@ -40,8 +40,8 @@
 ServerSelector::OnOpeningRetransmitted(const ServerRecord& aServer,
                                        base::Instant aNow)
 {
-  m_suspicion.OnOpeningRetransmitted(aServer.m_token, aNow);
-  DoubtZone(aServer, aNow);
+  m_serverHealth.OnOpeningRetransmitted(aServer.m_token, aNow);
+  RecordZoneFailure(aServer, aNow);
 }
 
 void
@@ -63,14 +63,14 @@
     aRecord.m_acknowledged = aPacket.m_acknowledged;
   }
   if (heard) {
-    m_suspicion.OnResponse(aPacket.m_token, aNow);
-    m_zoneSuspicion.OnResponse(ZoneKey(aServer.m_server.m_zone), aNow);
+    m_serverHealth.OnResponse(aPacket.m_token, aNow);
+    m_zoneHealth.OnResponse(ZoneKey(aServer.m_server.m_zone), aNow);
     if (aServer.m_server.m_zone != m_ownZone) {
       m_otherZoneRespondedAt = aNow;
     }
   } else if (repeats) {
-    m_suspicion.OnDataRetransmitted(aPacket.m_token, aNow);
-    DoubtZone(aServer, aNow);
+    m_serverHealth.OnDataRetransmitted(aPacket.m_token, aNow);
+    RecordZoneFailure(aServer, aNow);
   }
   if (heard && aRecord.m_awaits == Awaits::Response) {
     m_latencies.AddSample(aPacket.m_token, aNow - aRecord.m_awaitsSince, aNow);
@@ -89,9 +89,10 @@
 }
 
 void
-ServerSelector::DoubtZone(const ServerRecord& aServer, base::Instant aNow)
+ServerSelector::RecordZoneFailure(const ServerRecord& aServer,
+                                  base::Instant aNow)
 {
-  m_zoneSuspicion.OnDataRetransmitted(ZoneKey(aServer.m_server.m_zone), aNow);
+  m_zoneHealth.OnDataRetransmitted(ZoneKey(aServer.m_server.m_zone), aNow);
 }
 
 bool
@@ -99,9 +100,9 @@
 {
   const std::string& zone = aServer.m_server.m_zone;
   const bool inDoubtfulZone =
-    zone != m_ownZone && m_zoneSuspicion.IsSuspect(ZoneKey(zone), aNow);
+    zone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(zone), aNow);
   return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
-         m_suspicion.IsSuspect(aServer.m_token, aNow);
+         m_serverHealth.IsSuspect(aServer.m_token, aNow);
 }
 
 std::optional<placing::Placement>
@@ -113,7 +114,7 @@
   m_candidates.clear();
   std::optional<placing::Placement> best;
   for (std::uint64_t draw = 0; draw < kMaxSampleRounds; ++draw) {
-    m_beliefs.ServersByService().Sample(
+    m_cache.ServersByService().Sample(
       aService, m_ownZone, {}, base::Combine(aHash, draw), m_drawn);
     AddCandidates(m_drawn, aNow);
     best = placing::Place(m_candidates, aAvoid, aHash);
@@ -128,7 +129,7 @@
   if (best) {
     return best;
   }
-  AddCandidates(m_beliefs.ServersOf(aService), aNow);
+  AddCandidates(m_cache.ServersOf(aService), aNow);
   return placing::Place(m_candidates, aAvoid, aHash);
 }
 
@@ -161,13 +162,13 @@
                        aServer.m_presence == Presence::Lapsed;
   return isThere && !aServer.m_tokenCollides &&
          aServer.m_server.m_state == ServerState::Ready &&
-         !m_beliefs.ZoneOutSince(aServer.m_server.m_zone);
+         !m_cache.ZoneOutSince(aServer.m_server.m_zone);
 }
 
 bool
 ServerSelector::HasLocalServer(base::Instant aNow) const
 {
-  return m_beliefs.ServersByService().HasInZone(
+  return m_cache.ServersByService().HasInZone(
     m_ownZone, [&](const ServerRecord& aServer) {
       return CanAcceptFlow(aServer) && aNow >= aServer.m_coldUntil &&
              !IsSuspect(aServer, aNow);
@@ -181,9 +182,9 @@
   const bool isGone = aServer.m_presence == Presence::Gone &&
                       aNow - aServer.m_presenceSince > kMinGoneTime;
   const bool isMissed = aServer.m_presence == Presence::Lapsed &&
-                        m_suspicion.IsSuspect(aServer.m_token, aNow);
-  const bool isSilent =
-    aNow - m_suspicion.LastResponseAt(aServer.m_token) > kMinSilenceBeforeReset;
+                        m_serverHealth.IsSuspect(aServer.m_token, aNow);
+  const bool isSilent = aNow - m_serverHealth.LastResponseAt(aServer.m_token) >
+                        kMinSilenceBeforeReset;
   return (isGone || isMissed) && isSilent;
 }
 
@@ -191,8 +192,8 @@
 ServerSelector::Sweep(base::Instant aNow)
 {
   m_latencies.Sweep(aNow);
-  m_suspicion.Sweep(aNow);
-  m_zoneSuspicion.Sweep(aNow);
+  m_serverHealth.Sweep(aNow);
+  m_zoneHealth.Sweep(aNow);
 }
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -41,7 +41,7 @@
 public:
   /// The references must outlive this object.
   ServerSelector(std::string aOwnZone,
-                 const registry::RegistryCache& aBeliefs,
+                 const registry::RegistryCache& aCache,
                  FlowTracker& aFlows);
 
   /// Records that a caller retransmitted an opening packet that was sent to
@@ -86,16 +86,17 @@
 private:
   void AddCandidates(const registry::ServiceIndex::Servers& aServers,
                      base::Instant aNow);
-  void DoubtZone(const registry::ServerRecord& aServer, base::Instant aNow);
+  void RecordZoneFailure(const registry::ServerRecord& aServer,
+                         base::Instant aNow);
   bool IsSuspect(const registry::ServerRecord& aServer,
                  base::Instant aNow) const;
 
   std::string m_ownZone;
-  const registry::RegistryCache& m_beliefs;
+  const registry::RegistryCache& m_cache;
   FlowTracker& m_flows;
-  placing::PassiveHealthCheck m_suspicion;
+  placing::PassiveHealthCheck m_serverHealth;
   /// Health of whole zones. It is ignored for the host's own zone.
-  placing::PassiveHealthCheck m_zoneSuspicion;
+  placing::PassiveHealthCheck m_zoneHealth;
   base::Instant m_otherZoneRespondedAt;
   placing::LatencyTracker m_latencies;
   /// Buffers that are reused to avoid allocations for each new flow.
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -336,17 +336,18 @@
 }
 
 registry::UpdateOutcome
-TokenHost::OnPeerUpdate(const registry::RegistryUpdate& aNews,
+TokenHost::OnPeerUpdate(const registry::RegistryUpdate& aUpdate,
                         base::Instant aNow)
 {
   const std::uint64_t before = m_reader.Revision();
-  const registry::UpdateOutcome outcome = m_reader.OnPeerUpdate(aNews, aNow);
+  const registry::UpdateOutcome outcome = m_reader.OnPeerUpdate(aUpdate, aNow);
   if (m_reader.Revision() > before) {
     m_effects.LogStateChange(
       "learned_from_peer",
-      "revision=" + std::to_string(aNews.m_toRevision) +
-        " before=" + std::to_string(before) + " age_ms=" +
-        std::to_string(base::Milliseconds(aNews.m_age)) + m_log.TakeSummary());
+      "revision=" + std::to_string(aUpdate.m_toRevision) +
+        " before=" + std::to_string(before) +
+        " age_ms=" + std::to_string(base::Milliseconds(aUpdate.m_age)) +
+        m_log.TakeSummary());
   }
   ReleaseHeld(aNow);
   return outcome;
@@ -359,9 +360,9 @@
 }
 
 void
-TokenHost::SetMaxUpdateAge(base::Duration aPatience, bool aStandsBy)
+TokenHost::SetMaxUpdateAge(base::Duration aMaxUpdateAge, bool aStandsBy)
 {
-  m_reader.SetMaxUpdateAge(aPatience, aStandsBy);
+  m_reader.SetMaxUpdateAge(aMaxUpdateAge, aStandsBy);
 }
 
 void
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -85,7 +85,7 @@
   void OnListAnswer(const registry::ListResult& aAnswer, base::Instant aNow);
   void OnWatchAnswer(const registry::WatchResult& aAnswer, base::Instant aNow);
 
-  registry::UpdateOutcome OnPeerUpdate(const registry::RegistryUpdate& aNews,
+  registry::UpdateOutcome OnPeerUpdate(const registry::RegistryUpdate& aUpdate,
                                        base::Instant aNow) override;
   std::optional<registry::RegistryUpdate> UpdateSince(
     std::uint64_t aRevision,
@@ -98,7 +98,7 @@
   base::Instant AnsweredAt() const override { return m_reader.AnsweredAt(); }
   base::Instant LearnedAt() const override { return m_reader.LearnedAt(); }
   std::uint64_t Revision() const override { return m_reader.Revision(); }
-  void SetMaxUpdateAge(base::Duration aPatience, bool aStandsBy) override;
+  void SetMaxUpdateAge(base::Duration aMaxUpdateAge, bool aStandsBy) override;
   bool HasListed() const override { return m_cache.HasCompleteListing(); }
   bool IsFailing() const override { return m_reader.IsFailing(); }
   void HoldListing(base::Instant aUntil) override;
--- a/tests/support/FleetNetHost.h
+++ b/tests/support/FleetNetHost.h
@@ -47,7 +47,7 @@
   Host(FleetNet& aNet, std::size_t aIndex, std::uint64_t aIncarnation)
     : m_net(aNet)
     , m_index(aIndex)
-    , m_reader(Timing(), aIncarnation, m_beliefs, m_events)
+    , m_reader(Timing(), aIncarnation, m_cache, m_events)
     , m_roster({ aNet.AddressOf(aIndex),
                  Zone(),
                  aIncarnation,
@@ -95,12 +95,12 @@
     const base::Ipv4Address from = message.m_sender.m_address;
     m_roster.OnMessage(message, m_net.m_now);
     m_reachability.OnMessage(message);
-    if (const auto* news =
+    if (const auto* update =
           std::get_if<fleet::RelayedUpdate>(&message.m_content)) {
-      m_relay.OnRelayedUpdate(from, *news, m_net.m_now);
-    } else if (const auto* tellers =
+      m_relay.OnRelayedUpdate(from, *update, m_net.m_now);
+    } else if (const auto* providers =
                  std::get_if<fleet::Providers>(&message.m_content)) {
-      m_search.OnProviders(*tellers, m_net.m_now);
+      m_search.OnProviders(*providers, m_net.m_now);
     } else if (std::holds_alternative<fleet::FactsWanted>(message.m_content)) {
       m_board.OnFactsWanted(message.m_sender, m_net.m_now);
     } else if (std::holds_alternative<fleet::FactsKnown>(message.m_content)) {
@@ -112,10 +112,10 @@
     NoteReady();
   }
 
-  registry::UpdateOutcome OnPeerUpdate(const registry::RegistryUpdate& aNews,
+  registry::UpdateOutcome OnPeerUpdate(const registry::RegistryUpdate& aUpdate,
                                        base::Instant aNow) override
   {
-    return m_reader.OnPeerUpdate(aNews, aNow);
+    return m_reader.OnPeerUpdate(aUpdate, aNow);
   }
   std::optional<registry::RegistryUpdate> UpdateSince(
     std::uint64_t aRevision,
@@ -127,14 +127,14 @@
   base::Instant LearnedAt() const override { return m_reader.LearnedAt(); }
   bool IsReady() const override
   {
-    return m_beliefs.IsComplete() && m_reader.IsConfirmed();
+    return m_cache.IsComplete() && m_reader.IsConfirmed();
   }
   std::uint64_t Revision() const override { return m_reader.Revision(); }
-  void SetMaxUpdateAge(base::Duration aPatience, bool aStandsBy) override
+  void SetMaxUpdateAge(base::Duration aMaxUpdateAge, bool aStandsBy) override
   {
-    m_reader.SetMaxUpdateAge(aPatience, aStandsBy);
+    m_reader.SetMaxUpdateAge(aMaxUpdateAge, aStandsBy);
   }
-  bool HasListed() const override { return m_beliefs.HasCompleteListing(); }
+  bool HasListed() const override { return m_cache.HasCompleteListing(); }
   bool IsFailing() const override { return m_reader.IsFailing(); }
   void HoldListing(base::Instant aUntil) override
   {
@@ -144,7 +144,7 @@
   const fleet::SwimMembership& GetRoster() const { return m_roster; }
   fleet::ZoneReachability& GetReachability() { return m_reachability; }
   bool IsReader() const { return m_relay.IsReader(); }
-  std::uint64_t Version() const { return m_beliefs.CurrentGlobal().m_version; }
+  std::uint64_t Version() const { return m_cache.CurrentGlobal().m_version; }
   std::uint64_t Incarnation() const { return m_roster.Self().m_incarnation; }
 
   std::optional<base::Duration> TimeToReady() const
@@ -156,9 +156,9 @@
   }
 
   /// Takes in what was pulled.
-  void OnPulled(const registry::RegistryUpdate& aNews)
+  void OnPulled(const registry::RegistryUpdate& aUpdate)
   {
-    OnPeerUpdate(aNews, m_net.m_now);
+    OnPeerUpdate(aUpdate, m_net.m_now);
     m_relay.OnPullFinished(m_net.m_now);
     m_search.Tick(false, m_net.m_now);
     NoteReady();
@@ -274,9 +274,9 @@
     }
   }
   void SendProviders(base::Ipv4Address aTo,
-                     const fleet::Providers& aTellers) override
+                     const fleet::Providers& aProviders) override
   {
-    SendContent(aTo, aTellers);
+    SendContent(aTo, aProviders);
   }
   void PullInitialFacts(base::Ipv4Address aFrom,
                         std::uint64_t aRevision) override
@@ -306,25 +306,25 @@
                   std::uint64_t aIncarnation,
                   std::uint64_t aRevision)
   {
-    const auto news = UpdateSince(aRevision, m_net.m_now);
-    if (!news || m_net.IsLost(m_index, aTo)) {
+    const auto update = UpdateSince(aRevision, m_net.m_now);
+    if (!update || m_net.IsLost(m_index, aTo)) {
       return;
     }
     const double bytes =
-      news->m_fromRevision == 0 && m_net.m_links.m_packed > 0
+      update->m_fromRevision == 0 && m_net.m_links.m_packed > 0
         ? m_net.m_links.m_packed
-        : static_cast<double>(registry::EncodeUpdate(*news).size());
+        : static_cast<double>(registry::EncodeUpdate(*update).size());
     FleetNet& net = m_net;
     net.Later(net.Transfer(m_index, aTo, bytes), [=, &net] {
       if (net.IsUp(aTo) && net.m_hosts[aTo]->Incarnation() == aIncarnation) {
-        net.m_hosts[aTo]->OnPulled(*news);
+        net.m_hosts[aTo]->OnPulled(*update);
       }
     });
   }
 
   FleetNet& m_net;
   std::size_t m_index;
-  registry::RegistryCache m_beliefs;
+  registry::RegistryCache m_cache;
   NoEvents m_events;
   registry::Reader m_reader;
   fleet::SwimMembership m_roster;
--- a/tests/support/FleetStart.cpp
+++ b/tests/support/FleetStart.cpp
@@ -157,9 +157,9 @@
     case StartTrouble::Loss:
       return "1% lost";
     case StartTrouble::TellersDie:
-      return "tellers die";
+      return "providers die";
     case StartTrouble::TellersFreeze:
-      return "tellers freeze";
+      return "providers freeze";
     case StartTrouble::ZoneCut:
       return "a zone cut";
     case StartTrouble::FewAnswered:
--- a/tests/unit/HostCoreTests.cpp
+++ b/tests/unit/HostCoreTests.cpp
@@ -83,7 +83,7 @@
     }
   }
 
-  core::PacketVerdict Send(std::uint32_t aCaller, packet::TcpKind aKind)
+  core::PacketDecision Send(std::uint32_t aCaller, packet::TcpKind aKind)
   {
     const base::Endpoint caller{ { 0x0b000000 + aCaller }, 40000 };
     const auto service = m_bundle.m_services[0].m_address.m_endpoint;
@@ -119,9 +119,9 @@
     const base::Endpoint nowhere{ { 0x0a6400ff }, 443 };
     const auto packet =
       packet::WriteTcp({ { 1 }, 1 }, nowhere, packet::TcpKind::Open, {});
-    const auto verdict = bench.m_core.OnPacket(packet, bench.m_now);
-    EXPECT_EQ(verdict.m_action, PacketAction::Drop);
-    EXPECT_EQ(verdict.m_code, ResultCode::PacketForeignService);
+    const auto decision = bench.m_core.OnPacket(packet, bench.m_now);
+    EXPECT_EQ(decision.m_action, PacketAction::Drop);
+    EXPECT_EQ(decision.m_code, ResultCode::PacketForeignService);
   });
   Section("a truncated packet", [&] {
     const std::vector<std::byte> stump(7);
--- a/tests/unit/ProviderDirectoryTests.cpp
+++ b/tests/unit/ProviderDirectoryTests.cpp
@@ -15,18 +15,19 @@
 class Answers final : public ProviderDirectoryOutbox
 {
 public:
-  void SendProviders(base::Ipv4Address aTo, const Providers& aTellers) override
+  void SendProviders(base::Ipv4Address aTo,
+                     const Providers& aProviders) override
   {
-    m_sent.emplace_back(aTo.m_bits, aTellers);
+    m_sent.emplace_back(aTo.m_bits, aProviders);
   }
 
   /// Number of hosts directed to `aTeller` so far.
   std::size_t CountLedTo(std::uint32_t aTeller) const
   {
     std::size_t count = 0;
-    for (const auto& [to, tellers] : m_sent) {
-      count += !tellers.m_addresses.empty() &&
-                   tellers.m_addresses.front().m_bits == aTeller
+    for (const auto& [to, providers] : m_sent) {
+      count += !providers.m_addresses.empty() &&
+                   providers.m_addresses.front().m_bits == aTeller
                  ? 1
                  : 0;
     }
@@ -95,8 +96,8 @@
     board.OnFactsWanted(HostOf(host, 100), At(0));
   }
   std::uint32_t listing = 0;
-  for (const auto& [to, tellers] : answers.m_sent) {
-    listing += tellers.m_listersBefore < kMaxListersPerDirectory ? 1 : 0;
+  for (const auto& [to, providers] : answers.m_sent) {
+    listing += providers.m_listersBefore < kMaxListersPerDirectory ? 1 : 0;
   }
   EXPECT_EQ(listing, kMaxListersPerDirectory);
   board.OnFactsWanted(HostOf(1, 100), At(0.1));
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -45,9 +45,9 @@
 struct ReaderUnderTest
 {
   ReaderTiming m_timing;
-  RegistryCache m_beliefs;
+  RegistryCache m_cache;
   Events m_events;
-  Reader m_reader{ m_timing, 7, m_beliefs, m_events };
+  Reader m_reader{ m_timing, 7, m_cache, m_events };
 
   /// Completes a listing of one page with a configuration at `aRevision`, and
   /// the watch that confirms it.
@@ -78,7 +78,7 @@
     EXPECT_EQ(reader.Next(At(0)).m_afterKey, "k");
     reader.OnPage({ { ServerFact(MakeServer("i-1"), 12) }, "", 14 }, At(0));
     EXPECT_EQ(setup.m_events.m_listed, 2U);
-    EXPECT_TRUE(setup.m_beliefs.IsComplete());
+    EXPECT_TRUE(setup.m_cache.IsComplete());
   });
   Section(
     "the watch starts at the first page's revision, as pages are no snapshot",
@@ -142,10 +142,10 @@
   });
   Section("two hosts retry at different times", [&] {
     Events events;
-    Reader other(setup.m_timing, 8, setup.m_beliefs, events);
+    Reader other(setup.m_timing, 8, setup.m_cache, events);
     other.Next(At(0));
     other.OnFailure(kUnavailable, At(0));
-    Reader same(setup.m_timing, 9, setup.m_beliefs, setup.m_events);
+    Reader same(setup.m_timing, 9, setup.m_cache, setup.m_events);
     same.Next(At(0));
     same.OnFailure(kUnavailable, At(0));
     EXPECT_NE(events.m_pause, setup.m_events.m_pause);
@@ -170,7 +170,7 @@
   EXPECT_EQ(reader.Next(At(4)).m_kind, Kind::List);
   reader.OnPage({ { ConfigurationFact(1, 1) }, "", 30 }, At(4));
   EXPECT_EQ(reader.Revision(), 30U);
-  const auto* lost = setup.m_beliefs.FindByToken(MakeToken("i-1", 1));
+  const auto* lost = setup.m_cache.FindByToken(MakeToken("i-1", 1));
   EXPECT_EQ(lost->m_presence, Presence::Lapsed);
 }
 
@@ -209,33 +209,33 @@
   reader.Next(At(0));
   const RegistryUpdate whole{ 0, 20, {}, { ConfigurationFact(3, 5) } };
   EXPECT_EQ(reader.OnPeerUpdate(whole, At(0)), UpdateOutcome::Applied);
-  EXPECT_TRUE(setup.m_beliefs.IsComplete());
+  EXPECT_TRUE(setup.m_cache.IsComplete());
   EXPECT_EQ(reader.LearnedAt(), At(0));
   EXPECT_EQ(reader.AnsweredAt(), base::Instant{});
 
   Section("a listing in progress is still applied when it is newer", [&] {
     reader.OnPage({ { ConfigurationFact(4, 21) }, "", 22 }, At(1));
-    EXPECT_EQ(setup.m_beliefs.CurrentGlobal().m_version, 4U);
+    EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 4U);
     EXPECT_EQ(reader.Next(At(1)).m_revision, 22U);
   });
   Section("an older update changes nothing", [&] {
     EXPECT_EQ(
       reader.OnPeerUpdate({ 0, 21, {}, { ConfigurationFact(2, 2) } }, At(2)),
       UpdateOutcome::Stale);
-    EXPECT_EQ(setup.m_beliefs.CurrentGlobal().m_version, 4U);
+    EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 4U);
   });
   Section("an update that leaves out unknown changes is not applied", [&] {
     EXPECT_EQ(
       reader.OnPeerUpdate({ 23, 24, {}, { ConfigurationFact(6, 24) } }, At(2)),
       UpdateOutcome::Gap);
-    EXPECT_EQ(setup.m_beliefs.CurrentGlobal().m_version, 4U);
+    EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 4U);
     EXPECT_EQ(reader.Revision(), 22U);
   });
   Section("an update that overlaps with known changes is applied", [&] {
     EXPECT_EQ(
       reader.OnPeerUpdate({ 20, 24, {}, { ConfigurationFact(6, 24) } }, At(2)),
       UpdateOutcome::Applied);
-    EXPECT_EQ(setup.m_beliefs.CurrentGlobal().m_version, 6U);
+    EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 6U);
   });
 }
 
@@ -257,24 +257,24 @@
                    At(1));
 
   Section("a host that knows an earlier revision gets the removals", [&] {
-    const auto news = reader.UpdateSince(13, At(1.5));
-    ASSERT_TRUE(news);
-    EXPECT_EQ(news->m_facts,
+    const auto update = reader.UpdateSince(13, At(1.5));
+    ASSERT_TRUE(update);
+    EXPECT_EQ(update->m_facts,
               (std::vector{ RemovedFact(FactKind::Server, "i-1", 14),
                             RemovedFact(FactKind::ZoneOut, "b", 15) }));
-    EXPECT_EQ(news->m_age, std::chrono::milliseconds(500));
+    EXPECT_EQ(update->m_age, std::chrono::milliseconds(500));
   });
   Section("a host that knows nothing gets only the current facts", [&] {
-    const auto news = reader.UpdateSince(0, At(1.5));
-    ASSERT_TRUE(news);
-    EXPECT_EQ(news->m_facts.size(), 2U);
+    const auto update = reader.UpdateSince(0, At(1.5));
+    ASSERT_TRUE(update);
+    EXPECT_EQ(update->m_facts.size(), 2U);
   });
   Section("a host that missed dropped removals gets all current facts", [&] {
-    setup.m_beliefs.Tick(At(10));
-    setup.m_beliefs.Tick(At(100));
-    const auto news = reader.UpdateSince(13, At(100));
-    ASSERT_TRUE(news);
-    EXPECT_EQ(news->m_fromRevision, 0U);
+    setup.m_cache.Tick(At(10));
+    setup.m_cache.Tick(At(100));
+    const auto update = reader.UpdateSince(13, At(100));
+    ASSERT_TRUE(update);
+    EXPECT_EQ(update->m_fromRevision, 0U);
   });
 }
 
--- a/tests/unit/RegistryCacheTests.cpp
+++ b/tests/unit/RegistryCacheTests.cpp
@@ -26,10 +26,10 @@
 }
 
 const registry::ServerRecord&
-Find(const RegistryCache& aBeliefs, const registry::Server& aServer)
+Find(const RegistryCache& aCache, const registry::Server& aServer)
 {
   const auto* belief =
-    aBeliefs.FindByToken(MakeToken(aServer.m_id, aServer.m_startId));
+    aCache.FindByToken(MakeToken(aServer.m_id, aServer.m_startId));
   EXPECT_NE(belief, nullptr);
   return *belief;
 }
