--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -53,7 +53,7 @@
   /// Announces the departure of this host.
   void Leave();
 
-  /// Starts or stops to watch whether other zones can be reached.
+  /// Starts or stops watching whether other zones can be reached.
   void WatchOtherZones(bool aIsWatching)
   {
     m_reachability.SetWatching(aIsWatching);
--- a/tests/unit/PlacingTests.cpp
+++ b/tests/unit/PlacingTests.cpp
@@ -171,7 +171,7 @@
   EXPECT_LE(busiest * static_cast<double>(kServers) / placed, 1.08);
 }
 
-TEST(LatencyBook, AveragesSamplesUntilTheyExpire)
+TEST(LatencyTracker, AveragesSamplesUntilTheyExpire)
 {
   LatencyTracker book;
   EXPECT_EQ(book.AverageFor(1, At(0)), base::Duration::zero());
@@ -186,7 +186,7 @@
   EXPECT_EQ(book.AverageFor(1, At(9)), milliseconds(30));
 }
 
-TEST(Suspicion, RemovesServersWithoutRecentEvents)
+TEST(PassiveHealthCheck, RemovesServersWithoutRecentEvents)
 {
   PassiveHealthCheck suspicion;
   suspicion.OnOpeningRetransmitted(1, At(0));
@@ -199,7 +199,7 @@
   EXPECT_EQ(suspicion.LastResponseAt(3), At(25));
 }
 
-TEST(Suspicion, LastsLongerEachTimeAndEndsWithAResponse)
+TEST(PassiveHealthCheck, LastsLongerEachTimeAndEndsWithAResponse)
 {
   PassiveHealthCheck suspicion;
   EXPECT_FALSE(suspicion.IsSuspect(1, At(0)));
--- a/tests/unit/ProviderDirectoryTests.cpp
+++ b/tests/unit/ProviderDirectoryTests.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-TEST(TellerBoard, AnswersEarlierRequestsOnceAProviderIsKnown)
+TEST(ProviderDirectory, AnswersEarlierRequestsOnceAProviderIsKnown)
 {
   Answers answers;
   ProviderDirectory board(answers);
@@ -64,7 +64,7 @@
   });
 }
 
-TEST(TellerBoard, DirectsNoMoreHostsToAProviderThanItCanServe)
+TEST(ProviderDirectory, DirectsNoMoreHostsToAProviderThanItCanServe)
 {
   Answers answers;
   ProviderDirectory board(answers);
@@ -88,7 +88,7 @@
   });
 }
 
-TEST(TellerBoard, LimitsHostsThatListTheRegistryAtOnce)
+TEST(ProviderDirectory, LimitsHostsThatListTheRegistryAtOnce)
 {
   Answers answers;
   ProviderDirectory board(answers);
--- a/tests/unit/RequestDispatcherTests.cpp
+++ b/tests/unit/RequestDispatcherTests.cpp
@@ -32,12 +32,12 @@
 
 /// A dispatcher with `aTargets` backend servers of two slots each, and a clock
 /// that only the test advances.
-class HomeBench
+class DispatcherBench
 {
 public:
-  explicit HomeBench(int aTargets, std::uint32_t aInstance = 1)
+  explicit DispatcherBench(int aTargets, std::uint32_t aInstance = 1)
     : m_service(SampleService("vault", aTargets))
-    , m_home("vault", aInstance, m_directory, m_sink)
+    , m_dispatcher("vault", aInstance, m_directory, m_sink)
   {
     m_directory.UpdateFromBundle(SampleBundle(1, { m_service }), m_service);
   }
@@ -49,7 +49,7 @@
     envelope.m_repeatable = aRepeatable;
     envelope.m_timeout = milliseconds(1000);
     envelope.m_body = std::string(1, aId);
-    m_home.OnCallerDatagram(m_flow, envelope, m_now);
+    m_dispatcher.OnCallerDatagram(m_flow, envelope, m_now);
     return envelope;
   }
 
@@ -59,7 +59,7 @@
     reply.m_kind = aKind;
     reply.m_partIndex = aPart;
     reply.m_partCount = 2;
-    m_home.OnBackendDatagram(reply, m_now);
+    m_dispatcher.OnBackendDatagram(reply, m_now);
   }
 
   /// Answers the last request that was sent to a backend server.
@@ -75,7 +75,7 @@
   void Pass(milliseconds aTime)
   {
     m_now += aTime;
-    m_home.Tick(m_now);
+    m_dispatcher.Tick(m_now);
   }
 
   std::size_t Dispatches() const
@@ -90,16 +90,16 @@
   bundle::Service m_service;
   steering::TargetDirectory m_directory;
   Recorder m_sink;
-  RequestDispatcher m_home;
+  RequestDispatcher m_dispatcher;
   packet::FlowKey m_flow{ { { 1 }, 9 }, {} };
   base::Instant m_now{ std::chrono::seconds(100) };
 };
 
 } // namespace
 
-TEST(RequestHome, RunsARequestOnceAndRelaysItsWholeAnswer)
+TEST(RequestDispatcher, RunsARequestOnceAndRelaysItsWholeAnswer)
 {
-  HomeBench bench(3);
+  DispatcherBench bench(3);
   const Envelope asked = bench.Ask('a', false);
   Section("a repeated request datagram is not dispatched again", [&] {
     bench.Ask('a', false);
@@ -114,7 +114,7 @@
       bench.Reply(0, EnvelopeKind::Answer, 0);
       ASSERT_EQ(bench.m_sink.m_toCaller.size(), 2U);
       EXPECT_EQ(bench.m_sink.m_toCaller[1].m_id, asked.m_id);
-      EXPECT_EQ(bench.m_home.InProgressCount(), 0U);
+      EXPECT_EQ(bench.m_dispatcher.InProgressCount(), 0U);
     });
   Section("a request repeated after its end gets the same answer again", [&] {
     bench.Ask('a', false);
@@ -123,10 +123,10 @@
   });
 }
 
-TEST(RequestHome, RefusesOnlyRequestsThatWereNotRun)
+TEST(RequestDispatcher, RefusesOnlyRequestsThatWereNotRun)
 {
   Section("a refused request is sent to another backend server", [] {
-    HomeBench bench(2);
+    DispatcherBench bench(2);
     bench.Ask('a', false);
     bench.Reply(0, EnvelopeKind::Refusal);
     ASSERT_EQ(bench.Dispatches(), 2U);
@@ -154,7 +154,7 @@
             });
   });
   Section("the outcome of an unanswered non-repeatable request is unknown", [] {
-    HomeBench bench(2);
+    DispatcherBench bench(2);
     bench.Ask('a', false);
     bench.Pass(milliseconds(600));
     EXPECT_EQ(bench.Dispatches(), 1U);
@@ -166,7 +166,7 @@
   Section("an unanswered repeatable request is sent to another backend server "
           "before its deadline",
           [] {
-            HomeBench bench(2);
+            DispatcherBench bench(2);
             bench.Ask('a', true);
             bench.Pass(milliseconds(600));
             EXPECT_EQ(bench.Dispatches(), 2U);
@@ -174,7 +174,7 @@
   Section("a refusal of the second attempt does not hide that the first one, "
           "which was not answered, may have run",
           [] {
-            HomeBench bench(2);
+            DispatcherBench bench(2);
             bench.Ask('a', true);
             bench.Pass(milliseconds(600));
             ASSERT_EQ(bench.Dispatches(), 2U);
@@ -189,21 +189,22 @@
   Section("a cancellation after a refused second attempt does not hide that "
           "the first one may have run",
           [] {
-            HomeBench bench(2);
+            DispatcherBench bench(2);
             Envelope cancel = bench.Ask('a', true);
             bench.Pass(milliseconds(400));
             bench.Pass(milliseconds(150));
             ASSERT_EQ(bench.Dispatches(), 2U);
             bench.ReplyToLastRequest(EnvelopeKind::Refusal);
             cancel.m_kind = EnvelopeKind::Cancel;
-            bench.m_home.OnCallerDatagram(bench.m_flow, cancel, bench.m_now);
+            bench.m_dispatcher.OnCallerDatagram(
+              bench.m_flow, cancel, bench.m_now);
             ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
             EXPECT_EQ(bench.m_sink.m_toCaller[0].m_kind,
                       EnvelopeKind::UnknownOutcome);
           });
   Section("a request without a free slot waits and gets the first slot freed",
           [] {
-            HomeBench bench(1);
+            DispatcherBench bench(1);
             bench.Ask('a', false);
             bench.Ask('b', false);
             bench.Ask('c', false);
@@ -212,22 +213,22 @@
             bench.Reply(0, EnvelopeKind::Answer, 1);
             EXPECT_EQ(bench.Dispatches(), 3U);
           });
-  Section("a request cancelled while it waits is refused and never dispatched",
-          [] {
-            HomeBench bench(1);
-            bench.Ask('a', false);
-            bench.Ask('b', false);
-            Envelope cancel = bench.Ask('c', false);
-            cancel.m_kind = EnvelopeKind::Cancel;
-            bench.m_home.OnCallerDatagram(bench.m_flow, cancel, bench.m_now);
-            ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
-            EXPECT_EQ(bench.m_sink.m_toCaller[0].m_code, ResultCode::Cancelled);
-            bench.Reply(0, EnvelopeKind::Answer, 0);
-            bench.Reply(0, EnvelopeKind::Answer, 1);
-            EXPECT_EQ(bench.Dispatches(), 2U);
-          });
+  Section(
+    "a request cancelled while it waits is refused and never dispatched", [] {
+      DispatcherBench bench(1);
+      bench.Ask('a', false);
+      bench.Ask('b', false);
+      Envelope cancel = bench.Ask('c', false);
+      cancel.m_kind = EnvelopeKind::Cancel;
+      bench.m_dispatcher.OnCallerDatagram(bench.m_flow, cancel, bench.m_now);
+      ASSERT_EQ(bench.m_sink.m_toCaller.size(), 1U);
+      EXPECT_EQ(bench.m_sink.m_toCaller[0].m_code, ResultCode::Cancelled);
+      bench.Reply(0, EnvelopeKind::Answer, 0);
+      bench.Reply(0, EnvelopeKind::Answer, 1);
+      EXPECT_EQ(bench.Dispatches(), 2U);
+    });
   Section("a request is refused at once if too many requests already wait", [] {
-    HomeBench bench(1);
+    DispatcherBench bench(1);
     constexpr int kRunningAndWaiting = 2 + 16;
     for (int i = 0; i < kRunningAndWaiting; ++i) {
       bench.Ask(static_cast<char>('a' + i), false);
@@ -239,10 +240,10 @@
   });
 }
 
-TEST(RequestHome, UsesOtherDispatchIdsThanAnotherInstance)
+TEST(RequestDispatcher, UsesOtherDispatchIdsThanAnotherInstance)
 {
-  HomeBench one(1, 1);
-  HomeBench other(1, 2);
+  DispatcherBench one(1, 1);
+  DispatcherBench other(1, 2);
   one.Ask('a', false);
   other.Ask('b', false);
   EXPECT_NE(one.m_sink.m_toBackend[0].second.m_id,
--- a/tests/unit/SwimMembershipTests.cpp
+++ b/tests/unit/SwimMembershipTests.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-TEST(Roster, DiscoversAllHostsThroughSeeds)
+TEST(SwimMembership, DiscoversAllHostsThroughSeeds)
 {
   FleetNet net(90, 4, 1);
   net.RunFor(3s);
@@ -52,7 +52,7 @@
   });
 }
 
-TEST(Roster, DiscoversHostsOnceASeedHasStarted)
+TEST(SwimMembership, DiscoversHostsOnceASeedHasStarted)
 {
   FleetNet net(9, 3, 2);
   for (std::size_t seed = 0; seed < 3; ++seed) {
@@ -65,7 +65,7 @@
   EXPECT_EQ(net.RosterOf(5).LiveCount(), 7U);
 }
 
-TEST(Roster, DetectsADeadHostInTime)
+TEST(SwimMembership, DetectsADeadHostInTime)
 {
   FleetNet net(90, 4, 3);
   net.RunFor(5s);
@@ -74,7 +74,7 @@
   EXPECT_EQ(net.CountGone(40), 89U);
 }
 
-TEST(Roster, DeclaresNoLiveHostGone)
+TEST(SwimMembership, DeclaresNoLiveHostGone)
 {
   FleetNet net(90, 4, 4);
   net.m_loss = 0.01;
@@ -93,7 +93,7 @@
   });
 }
 
-TEST(Roster, KeepsAllMembersAfterAllHostsWerePaused)
+TEST(SwimMembership, KeepsAllMembersAfterAllHostsWerePaused)
 {
   constexpr std::size_t kHosts = 232;
   FleetNet net(kHosts, 5, 8);
@@ -110,7 +110,7 @@
   EXPECT_EQ(CountIgnorant(net, kHosts, kHosts), 0U);
 }
 
-TEST(Roster, FindsAllHostsAgainAfterAPartition)
+TEST(SwimMembership, FindsAllHostsAgainAfterAPartition)
 {
   FleetNet net(36, 3, 5);
   net.RunFor(5s);
@@ -125,7 +125,7 @@
   EXPECT_EQ(CountIgnorant(net, 36, 36), 0U);
 }
 
-TEST(Roster, BoundsTrafficPerHostInFleetsOfAnySize)
+TEST(SwimMembership, BoundsTrafficPerHostInFleetsOfAnySize)
 {
   constexpr double kBytesASecond = 3000;
   for (const std::size_t hosts : { 9U, 90U, 300U }) {
--- a/tests/unit/WeightCorrectionTests.cpp
+++ b/tests/unit/WeightCorrectionTests.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-TEST(Corrections, FollowReportsThatAgreeWithTheFlowsSeen)
+TEST(WeightCorrection, FollowReportsThatAgreeWithTheFlowsSeen)
 {
   Section("equal loads are not corrected", [] {
     for (const auto correction : ComputeWeightCorrections(Equal(5))) {
@@ -40,7 +40,7 @@
           });
 }
 
-TEST(Corrections, IgnoreReportsThatContradictTheFlowsSeen)
+TEST(WeightCorrection, IgnoreReportsThatContradictTheFlowsSeen)
 {
   for (const std::uint32_t lie : { 0U, 100U, 5000U, 4'000'000'000U }) {
     Section("a report of " + std::to_string(lie) + " flows", [&] {
@@ -53,7 +53,7 @@
   }
 }
 
-TEST(Corrections, CompareTheFlowsSeenWithoutReports)
+TEST(WeightCorrection, CompareTheFlowsSeenWithoutReports)
 {
   auto evidence = Equal(5);
   for (LoadObservation& item : evidence) {
