No request runs twice when a host starts again

Peers took the ready host for joining again, so its id became the previous owner in their view while it was the owner in its own. Two hosts each asked the other and each took the question for "passed back": both served. - a host that has just started does not know the owners and relays to any host; the receiver took that for a decision that it was the owner, and served.

Change: heartbeats carry how often the host has begun to join again (0 in ordinary life, so no byte more), and an earlier (rejoins, phase) is ignored. A process that has started since is no previous owner. Requests relayed by a joining host count as coming from the caller, so they are passed on to the owner.

--- a/src/wasabiloom/core/PacketRouter.cpp
+++ b/src/wasabiloom/core/PacketRouter.cpp
@@ -144,7 +144,8 @@
   situation.m_wasOwner =
     aPrevious == self && aHome != self && phase == HostPhase::Ready;
   situation.m_isLeaving = phase == HostPhase::Leaving;
-  situation.m_isRelayed = aRelayedFrom != kNoHost;
+  situation.m_isRelayed =
+    aRelayedFrom != kNoHost && !m_membership.IsJoining(aRelayedFrom);
   situation.m_hasPreviousOwner =
     aPrevious != self && m_membership.IsLive(aPrevious);
   situation.m_isFromPreviousOwner = aRelayedFrom == aPrevious;
--- a/src/wasabiloom/peer/Membership.cpp
+++ b/src/wasabiloom/peer/Membership.cpp
@@ -83,6 +83,13 @@
   return ranked[aMember % ranked.size()];
 }
 
+bool
+Membership::IsJoining(base::HostId aHost) const
+{
+  const auto found = m_peers.find(aHost);
+  return found != m_peers.end() && found->second.m_phase == HostPhase::Joining;
+}
+
 base::HostId
 Membership::PreviousOwnerOf(std::uint64_t aGroup, base::Instant aNow) const
 {
@@ -175,9 +182,11 @@
     return false;
   }
   Peer& peer = found->second;
-  if (aIncarnation > peer.m_incarnation) {
+  const bool hasStarted = aIncarnation > peer.m_incarnation;
+  if (hasStarted) {
     peer.m_incarnation = aIncarnation;
     peer.m_phase = HostPhase::Joining;
+    peer.m_rejoins = 0;
     peer.m_hearsMe = false;
     peer.m_bundleVersion = 0;
     m_lastDeparture = peer.m_live ? aNow : m_lastDeparture;
@@ -188,6 +197,10 @@
     peer.m_live = true;
     Refresh();
   }
+  if (hasStarted) {
+    // The new process has no records of the requests of the previous one.
+    std::erase(m_previousCandidates, aFrom);
+  }
   return true;
 }
 
@@ -195,6 +208,11 @@
 Membership::OnHeartbeat(base::HostId aFrom, const Heartbeat& aHeartbeat)
 {
   Peer& peer = m_peers.at(aFrom);
+  if (std::pair(aHeartbeat.m_rejoins, aHeartbeat.m_phase) <
+      std::pair(peer.m_rejoins, peer.m_phase)) {
+    return;
+  }
+  peer.m_rejoins = aHeartbeat.m_rejoins;
   peer.m_bundleVersion = aHeartbeat.m_bundleVersion;
   peer.m_hearsMe = aHeartbeat.m_hearsReceiver;
   if (m_phase == HostPhase::Joining && aHeartbeat.m_recentDeparture) {
@@ -248,6 +266,7 @@
   heartbeat.m_phase = m_phase;
   heartbeat.m_bundleVersion = aVersions.m_bundle;
   heartbeat.m_listRevision = aVersions.m_list;
+  heartbeat.m_rejoins = m_rejoins;
   heartbeat.m_recentDeparture = HasRecentDeparture(aNow);
   for (auto& [host, peer] : m_peers) {
     heartbeat.m_hearsReceiver = peer.m_live;
@@ -274,6 +293,7 @@
                      const KnownVersions& aVersions,
                      base::Instant aNow)
 {
+  m_rejoins += aPhase < m_phase ? 1 : 0;
   m_phase = aPhase;
   Refresh();
   SendHeartbeats(aVersions, aNow);
--- a/src/wasabiloom/peer/Membership.h
+++ b/src/wasabiloom/peer/Membership.h
@@ -61,8 +61,12 @@
                         std::size_t aMember,
                         base::HostId aOther) const override;
 
+  /// Whether `aHost` is a peer that, as far as known, is joining.
+  bool IsJoining(base::HostId aHost) const;
+
   /// First owner of the group before the owners last changed; the present one
-  /// when that was longer ago than kHandoverTime.
+  /// when that was longer ago than kHandoverTime. Hosts whose process has
+  /// started since are left out.
   base::HostId PreviousOwnerOf(std::uint64_t aGroup, base::Instant aNow) const;
 
   base::Instant LastDeparture() const override { return m_lastDeparture; }
@@ -116,6 +120,7 @@
     PeerAddress m_address;
     std::uint64_t m_incarnation = 0;
     HostPhase m_phase = HostPhase::Joining;
+    std::uint64_t m_rejoins = 0;
     bool m_live = false;
     bool m_listed = true;
     bool m_hearsMe = false;
@@ -134,6 +139,7 @@
   std::uint64_t m_incarnation;
   Outbox& m_outbox;
   HostPhase m_phase = HostPhase::Joining;
+  std::uint64_t m_rejoins = 0;
   std::map<base::HostId, Peer> m_peers;
   std::vector<base::HostId> m_live;
   std::vector<base::HostId> m_candidates;
--- a/src/wasabiloom/peer/Messages.h
+++ b/src/wasabiloom/peer/Messages.h
@@ -27,6 +27,10 @@
 struct Heartbeat
 {
   HostPhase m_phase = HostPhase::Joining;
+  /// Number of times that the process has begun to join again, after pauses.
+  /// With the phase, which only advances in between, it tells which of two
+  /// heartbeats is the later one.
+  std::uint64_t m_rejoins = 0;
   std::uint64_t m_bundleVersion = 0;
   std::uint64_t m_listRevision = 0;
   /// Whether the sender has heard the receiver lately.
--- a/src/wasabiloom/request/Handover.h
+++ b/src/wasabiloom/request/Handover.h
@@ -19,7 +19,9 @@
   /// fleet changed a short time ago.
   bool m_wasOwner = false;
   bool m_isLeaving = false;
-  /// The request came from another host of the fleet, not from the caller.
+  /// The request came from another host of the fleet that had decided on its
+  /// owner. A joining host does not know the owners and relays to any host, so
+  /// its requests count as coming from the caller.
   bool m_isRelayed = false;
   /// The fleet changed a short time ago, and the owner before that change is
   /// another host, which is alive.
--- a/src/wasabiloom/wire/PeerCodec.cpp
+++ b/src/wasabiloom/wire/PeerCodec.cpp
@@ -17,6 +17,7 @@
   aOut->set_phase(static_cast<std::uint32_t>(aMessage.m_phase));
   aOut->set_bundle_version(aMessage.m_bundleVersion);
   aOut->set_list_revision(aMessage.m_listRevision);
+  aOut->set_rejoins(aMessage.m_rejoins);
   aOut->set_hears_receiver(aMessage.m_hearsReceiver);
   aOut->set_recent_departure(aMessage.m_recentDeparture);
 }
@@ -29,6 +30,7 @@
   message.m_phase = static_cast<peer::HostPhase>(aIn.phase());
   message.m_bundleVersion = aIn.bundle_version();
   message.m_listRevision = aIn.list_revision();
+  message.m_rejoins = aIn.rejoins();
   message.m_hearsReceiver = aIn.hears_receiver();
   message.m_recentDeparture = aIn.recent_departure();
   return message;
--- a/tests/unit/PeerCodecTests.cpp
+++ b/tests/unit/PeerCodecTests.cpp
@@ -53,7 +53,7 @@
   }
   sync.m_pinned = Flows(5);
   sync.m_window = propose;
-  return { Heartbeat{ HostPhase::Ready, 3, 4, true, true },
+  return { Heartbeat{ HostPhase::Ready, 2, 3, 4, true, true },
            propose,
            Contribute{ shard, Version(2), Version(1), true, Flows(3) },
            Commit{ shard, Version(2), Flows(1) },
