--- a/tests/support/FleetNet.cpp
+++ b/tests/support/FleetNet.cpp
@@ -251,7 +251,7 @@
     const base::Instant tick = m_now + kSearchTick;
     while (!m_queue.empty() && m_queue.front().m_at <= tick) {
       std::ranges::pop_heap(m_queue, std::greater{});
-      const Event event = std::move(m_queue.back());
+      const TimedEvent event = std::move(m_queue.back());
       m_queue.pop_back();
       m_now = std::max(m_now, event.m_at);
       event.m_run();
--- a/tests/support/FleetNet.h
+++ b/tests/support/FleetNet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "support/Registry.h"
+#include "support/TimedEvent.h"
 #include "wasabiloom/fleet/FactRelay.h"
 #include "wasabiloom/fleet/ProviderDirectory.h"
 #include "wasabiloom/fleet/ProviderSearch.h"
@@ -120,19 +121,6 @@
   class Host;
   friend class Host;
 
-  /// Something that happens later.
-  struct Event
-  {
-    base::Instant m_at;
-    std::uint64_t m_order = 0;
-    std::function<void()> m_run;
-
-    bool operator>(const Event& aOther) const
-    {
-      return std::tie(m_at, m_order) > std::tie(aOther.m_at, aOther.m_order);
-    }
-  };
-
   void Send(std::size_t aFrom, base::Ipv4Address aTo, std::string aBytes);
   void Later(base::Instant aAt, std::function<void()> aRun);
   void TickHosts();
@@ -166,7 +154,7 @@
   std::vector<base::Instant> m_inFree;
   std::vector<HostBytes> m_each;
   base::Instant m_registryFree;
-  std::vector<Event> m_queue;
+  std::vector<TimedEvent> m_queue;
   std::uint64_t m_order = 0;
   std::uint64_t m_ticks = 0;
   std::uint64_t m_starts = 0;
--- a/tests/support/ServiceLoad.cpp
+++ b/tests/support/ServiceLoad.cpp
@@ -122,7 +122,7 @@
   const base::Instant end = m_now + aSpan;
   for (base::Instant tick = m_now + kTick; m_now < end; tick += kTick) {
     while (!m_queue.empty() && m_queue.top().m_at <= tick) {
-      const Event event = m_queue.top();
+      const TimedEvent event = m_queue.top();
       m_queue.pop();
       m_now = event.m_at;
       event.m_run();
--- a/tests/support/ServiceLoad.h
+++ b/tests/support/ServiceLoad.h
@@ -4,6 +4,7 @@
 
 #include "support/CallerPacket.h"
 #include "support/Registry.h"
+#include "support/TimedEvent.h"
 #include "wasabiloom/token/TokenHost.h"
 
 #include <functional>
@@ -71,18 +72,6 @@
 private:
   class Effects;
 
-  struct Event
-  {
-    base::Instant m_at;
-    std::uint64_t m_order = 0;
-    std::function<void()> m_run;
-
-    bool operator>(const Event& aOther) const
-    {
-      return std::tie(m_at, m_order) > std::tie(aOther.m_at, aOther.m_order);
-    }
-  };
-
   struct Server
   {
     ServerMode m_mode = ServerMode::Normal;
@@ -116,7 +105,8 @@
   LoadShape m_shape;
   std::mt19937_64 m_random;
   base::Instant m_now = At(0);
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_queue;
+  std::priority_queue<TimedEvent, std::vector<TimedEvent>, std::greater<>>
+    m_queue;
   std::uint64_t m_order = 0;
   std::vector<Server> m_servers;
   std::map<std::uint16_t, Attempt> m_attempts;
