A warm server's entry that is written again is passed on

Cause that fits: a host whose listing may be stale, or that gets only the last write of a key, has never seen the entry missing. When it watches the entry come back with the same content, it took it for unchanged and left it out of what it told; who had learned the removal from another host and got the revision from this one never learned the return, held the server for gone and reset its flows.

Change: what is left out are only renewals of cold servers up to the first warm one. Warm servers write their entries again only after a lapse.

Ruled out: leaving out nothing (3,000 cold servers that renew, FactRelay test). Not shown: that this was the cause.

Test: RegistryCache.IncludesUnchangedEntriesWhoseHistoryIsUnknown takes the watch as well, failed before; OmitsRewrittenEntriesOfColdServersFromChanges as it was.

--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -138,9 +138,14 @@
 {
   if (aKnown != nullptr && SaysTheSame(*aKnown, aServer, aNow)) {
     aKnown->m_revision = aRevision;
-    if (aOrigin != Origin::Watch) {
-      // The entry may have been different or missing between the two
-      // revisions, and other hosts may have seen that.
+    // Cold servers write their entries again and again, the last time when they
+    // are warm. Any other entry that is written again without a change may have
+    // been missing in between, which other hosts may have seen.
+    const bool isRenewal =
+      std::max(aServer.m_coldRemaining, aKnown->m_server.m_coldRemaining) >
+      base::Duration::zero();
+    aKnown->m_server.m_coldRemaining = aServer.m_coldRemaining;
+    if (aOrigin != Origin::Watch || !isRenewal) {
       aKnown->m_changeRevision = aRevision;
     }
     aKnown->m_coldUntil =
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -85,9 +85,10 @@
   RegistryCache& operator=(const RegistryCache&) = delete;
 
   /// Applies one fact. A fact that changes nothing here is left out of
-  /// FactsSince only where `aOrigin` is Watch: this host has then seen every
-  /// change before it. From another origin, changes in between may have been
-  /// missed here and seen by other hosts.
+  /// FactsSince only where `aOrigin` is Watch, and a server's entry only
+  /// until the server is warm: this host has then seen every change before it.
+  /// From another origin, changes in between may have been missed here and seen
+  /// by other hosts.
   FactOutcome Apply(const Fact& aFact,
                     base::Instant aNow,
                     Origin aOrigin = Origin::Peer);
--- a/tests/unit/RegistryCacheTests.cpp
+++ b/tests/unit/RegistryCacheTests.cpp
@@ -268,7 +268,7 @@
   // missed both sees an unchanged entry at 30. It must still send the entry:
   // another host may have seen only the removal.
   const auto server = MakeServer("i-1");
-  for (const Origin origin : { Origin::Listing, Origin::Peer }) {
+  for (const Origin origin : { Origin::Listing, Origin::Peer, Origin::Watch }) {
     RegistryCache teller;
     teller.Apply(ServerFact(server, 10), At(0));
     teller.EndListing(10, { { FactKind::Server, "i-1" } }, At(0));
