A host lists again whatever its peers repeat, when the history is gone

Cause: Reader kept 'list next' as a flag. A watch answered with 410 set it, every update of a peer cleared it while no call was out. Hosts whose calls fail ask each other for facts every 0.6 s, so each kept the others from listing. Change: whether to list follows from what is known: nothing yet, or a revision after which the registry has no history. An update without news changes neither, a later revision makes a watch possible again. The pause after a 410 is that of a first failure, as the registry does answer. Ruled out: the pause as the cause; it only made room for an update to come first.

--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -38,20 +38,25 @@
 ReaderCall
 Reader::Next(base::Instant aNow)
 {
-  const bool isHeld = m_listing && !m_reached && aNow < m_listNotBefore;
+  const bool lists = NeedsListing();
+  const bool isHeld = lists && !m_reached && aNow < m_listNotBefore;
   if (m_inCall || aNow < m_due || isHeld || OthersRead(aNow)) {
     return {};
   }
   m_inCall = true;
   m_hurried = false;
+  m_watchedRevision.reset();
   ReaderCall call;
-  if (m_listing) {
+  if (lists) {
     call.m_kind = ReaderCall::Kind::List;
     call.m_afterKey = m_after;
     call.m_mayBeStale = m_mayBeStale;
     call.m_timeout = m_timing.m_answerTimeout;
     return call;
   }
+  // A listing that was left unfinished does not go on after a watch.
+  m_after.clear();
+  m_watchedRevision = m_revision;
   call.m_kind = ReaderCall::Kind::Watch;
   call.m_revision = m_revision;
   // A watch returns without waiting after a failure, to learn soon whether the
@@ -82,7 +87,7 @@
   }
   // The pages of a listing are no snapshot, so the watch starts at the revision
   // of the first page to receive what changed while the listing ran.
-  m_listing = false;
+  m_unwatchableRevision.reset();
   m_confirmed = m_confirmed || !m_mayBeStale;
   m_revision = std::max(m_revision, m_listRevision);
   m_cache.EndListing(m_listRevision, m_found, aNow);
@@ -105,11 +110,13 @@
 Reader::OnFailure(const CallFailure& aFailure, base::Instant aNow)
 {
   m_inCall = false;
-  ++m_failures;
-  if (aFailure.m_code == base::ResultCode::HistoryGone) {
+  if (aFailure.m_code == base::ResultCode::HistoryGone && m_watchedRevision) {
     m_mayBeStale = false;
-    RestartListing();
+    m_unwatchableRevision = m_watchedRevision;
+    // The registry does answer, so the listing need not wait long.
+    m_failures = 0;
   }
+  ++m_failures;
   const std::uint32_t doublings = std::min(m_failures - 1, kMaxDoublings);
   const base::Duration first =
     m_standsBy ? m_timing.m_standbyInitialBackoff : m_timing.m_initialBackoff;
@@ -146,10 +153,6 @@
     // Another host reaches the registry on behalf of this one.
     m_failures = 0;
   }
-  if (!m_inCall) {
-    m_listing = false;
-    m_after.clear();
-  }
   return UpdateOutcome::Applied;
 }
 
@@ -175,10 +178,16 @@
   return update;
 }
 
+bool
+Reader::NeedsListing() const
+{
+  return !m_cache.HasCompleteListing() || m_unwatchableRevision == m_revision;
+}
+
 bool
 Reader::OthersRead(base::Instant aNow) const
 {
-  return m_confirmed && !m_listing && !m_hurried && m_failures == 0 &&
+  return m_confirmed && !NeedsListing() && !m_hurried && m_failures == 0 &&
          aNow - m_learnedAt < m_maxUpdateAge;
 }
 
@@ -214,11 +223,4 @@
   m_reached = true;
 }
 
-void
-Reader::RestartListing()
-{
-  m_listing = true;
-  m_after.clear();
-}
-
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -5,6 +5,7 @@
 #include "wasabiloom/registry/RegistryClient.h"
 #include "wasabiloom/registry/RegistryUpdate.h"
 
+#include <optional>
 #include <random>
 #include <set>
 
@@ -90,11 +91,12 @@
 };
 
 /// Lists the registry once and then watches it for changes; lists again when
-/// the registry has dropped the history that the watch needs. Makes one call at
-/// a time, delays the next watch after one that returned changes, and backs off
-/// with jitter after failures. While other hosts read the registry on behalf of
-/// this one, it calls the registry only when their updates stop. Not thread
-/// safe: use it from one thread at a time.
+/// the registry has dropped the history that the watch needs, unless other
+/// hosts report later changes. Makes one call at a time, delays the next watch
+/// after one that returned changes, and backs off with jitter after failures.
+/// While other hosts read the registry on behalf of this one, it calls the
+/// registry only when their updates stop. Not thread safe: use it from one
+/// thread at a time.
 class Reader
 {
 public:
@@ -172,14 +174,15 @@
             Origin aOrigin,
             base::Instant aNow);
   void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
-  void RestartListing();
+  /// Whether the registry must be listed: nothing is known yet, or the changes
+  /// after the known revision can't be watched.
+  bool NeedsListing() const;
   bool OthersRead(base::Instant aNow) const;
 
   ReaderTiming m_timing;
   std::mt19937_64 m_random;
   RegistryCache& m_cache;
   ReaderEvents& m_events;
-  bool m_listing = true;
   bool m_inCall = false;
   bool m_reached = false;
   bool m_confirmed = false;
@@ -191,6 +194,11 @@
   std::uint64_t m_listRevision = 0;
   std::set<std::pair<FactKind, std::string>> m_found;
   std::uint64_t m_revision = 0;
+  /// Revision that the watch in progress was called with, if one is.
+  std::optional<std::uint64_t> m_watchedRevision;
+  /// Revision after which the registry has no history. A watch is possible
+  /// again once a later revision than this is known.
+  std::optional<std::uint64_t> m_unwatchableRevision;
   std::uint32_t m_failures = 0;
   base::Instant m_due;
   base::Instant m_listNotBefore;
--- a/tests/support/FleetNet.h
+++ b/tests/support/FleetNet.h
@@ -77,6 +77,10 @@
   /// The registry goes on to its next revision, and version.
   void Publish();
 
+  /// The registry discards the history of all changes so far, so that they can
+  /// only be listed.
+  void DropHistory() { m_historyFrom = m_revision; }
+
   /// Whether the registry holds no configuration yet.
   void WithholdConfiguration(bool aWithheld) { m_withheld = aWithheld; }
 
@@ -159,6 +163,8 @@
   std::uint64_t m_ticks = 0;
   std::uint64_t m_starts = 0;
   std::uint64_t m_revision = 10;
+  /// Revision before which the registry has no history.
+  std::uint64_t m_historyFrom = 0;
   std::uint64_t m_version = 10;
   std::uint64_t m_versionRevision = 10;
   bool m_withheld = false;
--- a/tests/support/FleetNetHost.h
+++ b/tests/support/FleetNetHost.h
@@ -227,6 +227,10 @@
       m_call.reset();
       m_reader.OnPage({ m_net.FactsAfter(0), "", m_net.m_revision },
                       m_net.m_now);
+    } else if (call.m_revision < m_net.m_historyFrom) {
+      m_call.reset();
+      m_reader.OnFailure({ base::ResultCode::HistoryGone, "dropped" },
+                         m_net.m_now);
     } else if (m_changes) {
       m_call.reset();
       m_reader.OnChanges(*m_changes, m_net.m_now);
--- a/tests/unit/FactRelayTests.cpp
+++ b/tests/unit/FactRelayTests.cpp
@@ -218,6 +218,25 @@
   });
 }
 
+TEST(FactRelay, ListsAgainWhenTheRegistryWasDownAndLostItsHistory)
+{
+  // Guards against an incident in which no host learned anything again: each
+  // host was about to list, and the facts that hosts cut off from the registry
+  // ask of each other made it watch instead.
+  FleetNet net(kHosts, kZones, 7);
+  net.RunFor(5s);
+  net.m_silent = [](std::size_t) { return true; };
+  net.m_refuses = true;
+  net.RunFor(4500ms);
+  net.m_silent = nullptr;
+  net.Publish();
+  net.DropHistory();
+  net.RunFor(kWithin);
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    EXPECT_EQ(net.VersionOf(i), net.LatestVersion()) << i;
+  }
+}
+
 TEST(FactRelay, LetsFewHostsListWhileThereIsNoConfiguration)
 {
   constexpr std::size_t kMany = 90;
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -174,6 +174,37 @@
   EXPECT_EQ(lost->m_presence, Presence::Lapsed);
 }
 
+TEST(Reader, IsNotKeptFromListingByUpdatesWithoutNews)
+{
+  // Guards against hosts that watch without end after the history was dropped.
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.Next(At(1));
+  reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(1));
+
+  Section("an update that ends at the known revision changes nothing", [&] {
+    reader.OnPeerUpdate({ 10, 10, {}, {} }, At(1));
+    EXPECT_EQ(reader.Next(At(2)).m_kind, Kind::List);
+    reader.OnFailure(kUnavailable, At(2));
+    reader.OnPeerUpdate({ 0, 10, {}, { ConfigurationFact(1, 1) } }, At(2));
+    EXPECT_EQ(reader.Next(At(4)).m_kind, Kind::List);
+    reader.OnFailure(kUnavailable, At(4));
+  });
+  Section("a later change makes a watch possible again", [&] {
+    reader.OnPeerUpdate({ 10, 12, {}, {} }, At(4));
+    const ReaderCall watch = reader.Next(At(6));
+    EXPECT_EQ(watch.m_kind, Kind::Watch);
+    EXPECT_EQ(watch.m_revision, 12U);
+  });
+  Section("a watch that failed for an earlier revision is no reason to list",
+          [&] {
+            reader.OnPeerUpdate({ 12, 14, {}, {} }, At(6));
+            reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(6));
+            EXPECT_EQ(reader.Next(At(8)).m_kind, Kind::Watch);
+          });
+}
+
 TEST(Reader, ConfirmsAListingThatMayBeStale)
 {
   ReaderUnderTest setup;
