A record stays with its server when two share a token

Cause: records were owned by their token. A server that took the token of a former start of another one dropped that server's entry under its id; a record under a spare token could be overwritten. Tokens of short ids in sequence collided systematically, as the seeded hash of a short text is linear in its seed. Change: records are owned by id and start, the indexes refer to them; the start is mixed with the hash of the id. Ruled out: the listing and the tests' own model; the address sanitizer names Add.

--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -55,7 +55,10 @@
 std::uint32_t
 MakeToken(std::string_view aId, std::uint64_t aBorn)
 {
-  const auto token = static_cast<std::uint32_t>(base::HashText(aId, aBorn));
+  // The hash of the text alone is linear in its seed for short texts, so that
+  // servers of neighbouring ids and starts would get the same token.
+  const auto token =
+    static_cast<std::uint32_t>(base::Combine(base::HashText(aId), aBorn));
   return token == 0 ? 1 : token;
 }
 
@@ -185,33 +188,22 @@
 ServerRecord&
 RegistryCache::Add(const Server& aServer)
 {
-  const std::uint32_t token = MakeToken(aServer.m_id, aServer.m_startId);
-  auto& slot = m_byToken[token];
-  const bool clashes = slot != nullptr && slot->m_server.m_id != aServer.m_id;
-  if (clashes && slot->m_server.m_id < aServer.m_id) {
-    // The server with the smaller id gets the token, so that all hosts agree
-    // whatever the order of the entries. The other server is recorded under a
-    // spare token and gets no flows.
-    auto& spare = m_byToken[MakeToken(aServer.m_id, ~aServer.m_startId)];
-    if (spare != nullptr) {
-      m_byService.Remove(*spare);
-    }
-    spare = std::make_unique<ServerRecord>();
-    spare->m_token = MakeToken(aServer.m_id, ~aServer.m_startId);
-    spare->m_tokenCollides = true;
-    m_byId[aServer.m_id] = spare.get();
-    return *spare;
-  }
-  if (clashes) {
-    m_byId.erase(slot->m_server.m_id);
+  ServerRecord& record = m_records[{ aServer.m_id, aServer.m_startId }];
+  record.m_token = MakeToken(aServer.m_id, aServer.m_startId);
+  m_byId[aServer.m_id] = &record;
+  ServerRecord*& holder = m_byToken[record.m_token];
+  // The server with the smaller id gets the token, so that all hosts agree
+  // whatever the order of the entries. The other server gets no flows.
+  const bool takesToken =
+    holder == nullptr || aServer.m_id <= holder->m_server.m_id;
+  if (takesToken && holder != nullptr) {
+    holder->m_tokenCollides = true;
   }
-  if (slot != nullptr) {
-    m_byService.Remove(*slot);
+  if (takesToken) {
+    holder = &record;
   }
-  slot = std::make_unique<ServerRecord>();
-  slot->m_token = token;
-  m_byId[aServer.m_id] = slot.get();
-  return *slot;
+  record.m_tokenCollides = !takesToken;
+  return record;
 }
 
 void
@@ -224,10 +216,11 @@
     aRecord.m_presence = aPresence;
     aRecord.m_presenceSince = aNow;
   }
+  const StartKey start{ aRecord.m_server.m_id, aRecord.m_server.m_startId };
   if (aPresence == Presence::Listed) {
-    m_away.erase(aRecord.m_token);
+    m_away.erase(start);
   } else {
-    m_away.insert(aRecord.m_token);
+    m_away.insert(start);
   }
   if (TakesFlows(aPresence)) {
     m_byService.Add(
@@ -284,43 +277,47 @@
 void
 RegistryCache::Tick(base::Instant aNow)
 {
-  std::vector<std::uint32_t> forgotten;
-  for (const std::uint32_t token : m_away) {
-    ServerRecord& belief = *m_byToken.at(token);
+  std::vector<StartKey> forgotten;
+  for (const StartKey& start : m_away) {
+    ServerRecord& belief = m_records.at(start);
     const base::Duration age = aNow - belief.m_presenceSince;
     if (belief.m_presence == Presence::Lapsed && age > kLapseGrace) {
       belief.m_presence = Presence::Gone;
       belief.m_presenceSince = aNow;
       m_byService.Remove(belief);
     } else if (!TakesFlows(belief.m_presence) && age > kForgetAfter) {
-      forgotten.push_back(token);
+      forgotten.push_back(start);
     }
   }
-  for (const std::uint32_t token : forgotten) {
-    Forget(token);
+  for (const StartKey& start : forgotten) {
+    Forget(start);
   }
   m_forgottenRevision =
     std::max(m_forgottenRevision, m_routes.Forget(aNow - kForgetAfter));
 }
 
 void
-RegistryCache::Forget(std::uint32_t aToken)
+RegistryCache::Forget(const StartKey& aStart)
 {
-  const ServerRecord& belief = *m_byToken.at(aToken);
+  const ServerRecord& belief = m_records.at(aStart);
   m_forgottenRevision = std::max(m_forgottenRevision, belief.m_revision);
-  const auto latest = m_byId.find(belief.m_server.m_id);
+  const auto latest = m_byId.find(aStart.first);
   if (latest != m_byId.end() && latest->second == &belief) {
     m_byId.erase(latest);
   }
-  m_away.erase(aToken);
-  m_byToken.erase(aToken);
+  const auto holder = m_byToken.find(belief.m_token);
+  if (holder != m_byToken.end() && holder->second == &belief) {
+    m_byToken.erase(holder);
+  }
+  m_away.erase(aStart);
+  m_records.erase(aStart);
 }
 
 const ServerRecord*
 RegistryCache::FindByToken(std::uint32_t aToken) const
 {
   const auto found = m_byToken.find(aToken);
-  return found == m_byToken.end() ? nullptr : found->second.get();
+  return found == m_byToken.end() ? nullptr : found->second;
 }
 
 std::optional<base::Instant>
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -7,7 +7,6 @@
 #include "wasabiloom/registry/ServiceIndex.h"
 
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -49,8 +48,8 @@
   /// Revision of the latest change that other hosts may need to learn. An entry
   /// that only repeats what is known raises `m_revision` alone.
   std::uint64_t m_changeRevision = 0;
-  /// The token of this start belongs to another server, so this start gets no
-  /// flows.
+  /// The token of this start belongs to a server with a smaller id, so this
+  /// start gets no flows.
   bool m_tokenCollides = false;
 };
 
@@ -148,9 +147,12 @@
   std::optional<std::vector<Fact>> FactsSince(std::uint64_t aRevision,
                                               base::Instant aNow) const;
 
-  std::size_t ServerCount() const { return m_byToken.size(); }
+  std::size_t ServerCount() const { return m_records.size(); }
 
 private:
+  /// Id of a server and one of its starts.
+  using StartKey = std::pair<std::string, std::uint64_t>;
+
   struct ZoneRecord
   {
     bool m_out = false;
@@ -174,11 +176,12 @@
   FactOutcome RemoveServer(ServerRecord& aRecord,
                            std::uint64_t aRevision,
                            base::Instant aNow);
+  /// Returns the record of this start as the latest of its server.
   ServerRecord& Add(const Server& aServer);
   void SetPresence(ServerRecord& aRecord,
                    Presence aPresence,
                    base::Instant aNow);
-  void Forget(std::uint32_t aToken);
+  void Forget(const StartKey& aStart);
   void AppendServers(std::uint64_t aRevision,
                      base::Instant aNow,
                      std::vector<Fact>& aFacts) const;
@@ -189,12 +192,15 @@
   /// it were never recorded here, or their records were dropped.
   std::uint64_t m_forgottenRevision = 0;
   bool m_listed = false;
-  std::unordered_map<std::uint32_t, std::unique_ptr<ServerRecord>> m_byToken;
+  /// Owns the records; all other containers refer to them.
+  std::map<StartKey, ServerRecord> m_records;
+  /// Of several starts with the same token, that of the smallest id.
+  std::unordered_map<std::uint32_t, ServerRecord*> m_byToken;
   /// The latest start under each id.
   std::map<std::string, ServerRecord*, std::less<>> m_byId;
   ServiceIndex m_byService;
-  /// Tokens of the starts that are not listed.
-  std::set<std::uint32_t> m_away;
+  /// The starts that are not listed.
+  std::set<StartKey> m_away;
   std::map<std::string, ZoneRecord> m_zones;
 };
 
--- a/tests/support/ServiceLoad.h
+++ b/tests/support/ServiceLoad.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <queue>
 #include <random>
 #include <set>
--- a/tests/unit/RegistryCacheTests.cpp
+++ b/tests/unit/RegistryCacheTests.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
+#include <unordered_map>
 
 namespace wasabiloom::tests {
 
@@ -34,6 +36,20 @@
   return *belief;
 }
 
+/// Returns two ids whose first starts have the same token.
+std::pair<std::string, std::string>
+FindCollidingIds()
+{
+  std::unordered_map<std::uint32_t, std::string> seen;
+  for (std::uint64_t i = 0;; ++i) {
+    const std::string id = "i-" + std::to_string(i);
+    const auto [known, isNew] = seen.try_emplace(MakeToken(id, 1), id);
+    if (!isNew) {
+      return { known->second, id };
+    }
+  }
+}
+
 } // namespace
 
 TEST(RegistryCache, IsCompleteOnceConfigurationAndListingAreReceived)
@@ -173,18 +189,7 @@
 
 TEST(RegistryCache, AssignsCollidingTokensIndependentlyOfOrder)
 {
-  // Searches for two ids whose 32-bit tokens collide.
-  std::map<std::uint32_t, std::uint64_t> seen;
-  std::string first;
-  std::string second;
-  for (std::uint64_t i = 0; second.empty(); ++i) {
-    const std::string id = "i-" + std::to_string(i);
-    const auto [known, isNew] = seen.try_emplace(MakeToken(id, 1), i);
-    if (!isNew) {
-      first = "i-" + std::to_string(known->second);
-      second = id;
-    }
-  }
+  const auto [first, second] = FindCollidingIds();
   std::vector<std::vector<std::string>> owners;
   for (const auto& order :
        { std::vector{ first, second }, std::vector{ second, first } }) {
@@ -206,6 +211,49 @@
   EXPECT_EQ(owners[0].size(), 1U);
 }
 
+TEST(RegistryCache, KeepsARestartedServerWhoseFormerTokenCollides)
+{
+  // Guards against a server that keeps getting flows after it has left, as its
+  // record was lost when another server had the token of its former start.
+  const auto ids = FindCollidingIds();
+  const auto [smaller, larger] = std::minmax(ids.first, ids.second);
+  RegistryCache beliefs;
+  beliefs.Apply(ServerFact(MakeServer(larger, "a", 1), 2), At(0));
+  beliefs.Apply(ServerFact(MakeServer(larger, "a", 2), 3), At(0));
+  beliefs.Apply(ServerFact(MakeServer(smaller, "a", 1), 4), At(0));
+  EXPECT_EQ(beliefs.ServersOf("desk").size(), 2U);
+  EXPECT_EQ(beliefs.FactsSince(0, At(0))->size(), 2U);
+
+  Section("it is removed when its entry is", [&] {
+    beliefs.Apply(RemovedFact(FactKind::Server, larger, 5), At(0));
+    beliefs.Tick(At(3));
+    const auto left = beliefs.ServersOf("desk");
+    ASSERT_EQ(left.size(), 1U);
+    EXPECT_EQ(left[0]->m_server.m_id, smaller);
+  });
+  Section("the records of both are dropped at last", [&] {
+    beliefs.Apply(RemovedFact(FactKind::Server, smaller, 6), At(4));
+    beliefs.Tick(At(7));
+    beliefs.Tick(At(200));
+    EXPECT_EQ(beliefs.ServerCount(), 0U);
+  });
+}
+
+TEST(RegistryCache, GivesNeighbouringIdsAndStartsDifferentTokens)
+{
+  // Guards against servers that get no flows, as ids in sequence and starts in
+  // the same milliseconds had equal tokens.
+  constexpr int kIds = 100;
+  constexpr std::uint64_t kStarts = 16;
+  std::set<std::uint32_t> tokens;
+  for (int id = 0; id < kIds; ++id) {
+    for (std::uint64_t born = 1; born <= kStarts; ++born) {
+      tokens.insert(MakeToken("i-" + std::to_string(id), born));
+    }
+  }
+  EXPECT_EQ(tokens.size(), kIds * kStarts);
+}
+
 TEST(RegistryCache, GivesNoChangesSinceARevisionBeforeTheFirstListing)
 {
   RegistryCache young;
