What a host claims to know is a range that can't hold a gap

Cause: nothing said from which revision on a host knows every change. Listing again and whole facts of a peer moved the end of what is known and left its start, so the host told the others that it sends all changes and lacked removals. Change: KnownHistory, a range with three transitions (complete state, changes that follow, dropped changes); the cache moves it only together with the facts, and what is sent, taken and asked for follows from it. Changes at known revisions are stale, removals of unknown servers are passed on, a known version is compared again, and the table of routes sends the whole version where its own range does not reach back. Ruled out: a check at each sender; three places would have needed it, the drawn orders found two more. A fixture of TokenHostTest gave changes of revisions that its earlier answers had passed already; it now takes the revision of an answer from its changes.

--- a/src/wasabiloom/registry/Facts.h
+++ b/src/wasabiloom/registry/Facts.h
@@ -7,8 +7,10 @@
 
 #include <compare>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -162,6 +164,9 @@
   friend auto operator<=>(const Fact&, const Fact&) = default;
 };
 
+/// Kinds and names of facts.
+using FactNames = std::set<std::pair<FactKind, std::string>>;
+
 /// Returns the name of `aKind` for logs. Thread safe.
 std::string_view
 ToString(FactKind aKind);
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -10,20 +10,8 @@
 /// overflow the shift.
 constexpr std::uint32_t kMaxDoublings = 8;
 
-using Names = std::set<std::pair<FactKind, std::string>>;
-
-void
-AddNames(Names& aNames, const std::vector<Fact>& aFacts)
-{
-  for (const Fact& fact : aFacts) {
-    aNames.emplace(fact.m_kind, fact.m_name);
-  }
-}
-
 } // namespace
 
-ReaderEvents::~ReaderEvents() = default;
-
 Reader::Reader(const ReaderTiming& aTiming,
                std::uint64_t aSeed,
                RegistryCache& aCache,
@@ -56,9 +44,9 @@
   }
   // A listing that was left unfinished does not go on after a watch.
   m_after.clear();
-  m_watchedRevision = m_revision;
+  m_watchedRevision = Revision();
   call.m_kind = ReaderCall::Kind::Watch;
-  call.m_revision = m_revision;
+  call.m_revision = Revision();
   // A watch returns without waiting after a failure, to learn soon whether the
   // registry responds again. So does a watch that confirms a listing, and one
   // that replaces the missing updates of other hosts.
@@ -79,8 +67,7 @@
     m_listRevision = aPage.m_revision;
     m_found.clear();
   }
-  AddNames(m_found, aPage.m_facts);
-  Take(aPage.m_facts, Origin::Listing, aNow);
+  TakePage(aPage, aNow);
   m_after = aPage.m_nextKey;
   if (!m_after.empty()) {
     return;
@@ -89,7 +76,6 @@
   // of the first page to receive what changed while the listing ran.
   m_unwatchableRevision.reset();
   m_confirmed = m_confirmed || !m_mayBeStale;
-  m_revision = std::max(m_revision, m_listRevision);
   m_cache.EndListing(m_listRevision, m_found, aNow);
   m_events.OnListed(m_listRevision, m_found.size());
   m_found.clear();
@@ -101,8 +87,11 @@
   m_inCall = false;
   m_confirmed = true;
   NoteAnswer(aChanges.m_revision, aNow);
-  Take(aChanges.m_facts, Origin::Watch, aNow);
-  m_revision = std::max(m_revision, aChanges.m_revision);
+  m_cache.Learn({ m_watchedRevision.value_or(Revision()), aChanges.m_revision },
+                aChanges.m_facts,
+                Origin::Watch,
+                aNow,
+                m_events);
   m_due = aChanges.m_facts.empty() ? aNow : aNow + m_timing.m_pauseAfterChanges;
 }
 
@@ -132,20 +121,14 @@
 UpdateOutcome
 Reader::OnPeerUpdate(const RegistryUpdate& aUpdate, base::Instant aNow)
 {
-  if (aUpdate.m_toRevision < m_revision) {
-    return UpdateOutcome::Stale;
-  }
-  if (aUpdate.m_fromRevision > m_revision) {
-    return UpdateOutcome::Gap;
-  }
-  if (aUpdate.m_toRevision > m_revision) {
-    Take(aUpdate.m_facts, Origin::Peer, aNow);
-    if (aUpdate.m_fromRevision == 0) {
-      Names found;
-      AddNames(found, aUpdate.m_facts);
-      m_cache.EndListing(aUpdate.m_toRevision, found, aNow);
-    }
-    m_revision = aUpdate.m_toRevision;
+  const UpdateOutcome outcome =
+    m_cache.Learn({ aUpdate.m_fromRevision, aUpdate.m_toRevision },
+                  aUpdate.m_facts,
+                  Origin::Peer,
+                  aNow,
+                  m_events);
+  if (outcome != UpdateOutcome::Applied) {
+    return outcome;
   }
   m_learnedAt = std::max(m_learnedAt, aNow - aUpdate.m_age);
   m_confirmed = true;
@@ -162,7 +145,7 @@
   if (!m_confirmed || !m_cache.IsComplete()) {
     return std::nullopt;
   }
-  return RegistryUpdate{ m_revision, m_revision, aNow - m_learnedAt, {} };
+  return RegistryUpdate{ Revision(), Revision(), aNow - m_learnedAt, {} };
 }
 
 std::optional<RegistryUpdate>
@@ -181,7 +164,7 @@
 bool
 Reader::NeedsListing() const
 {
-  return !m_cache.HasCompleteListing() || m_unwatchableRevision == m_revision;
+  return !m_cache.HasCompleteListing() || m_unwatchableRevision == Revision();
 }
 
 bool
@@ -202,12 +185,12 @@
 }
 
 void
-Reader::Take(const std::vector<Fact>& aFacts,
-             Origin aOrigin,
-             base::Instant aNow)
+Reader::TakePage(const Page& aPage, base::Instant aNow)
 {
-  for (const Fact& fact : aFacts) {
-    m_events.OnFact(fact, m_cache.Apply(fact, aNow, aOrigin), aOrigin);
+  for (const Fact& fact : aPage.m_facts) {
+    m_found.emplace(fact.m_kind, fact.m_name);
+    const FactOutcome outcome = m_cache.Apply(fact, aNow, Origin::Listing);
+    m_events.OnFact(fact, outcome, Origin::Listing);
   }
 }
 
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -7,7 +7,6 @@
 
 #include <optional>
 #include <random>
-#include <set>
 
 namespace wasabiloom::registry {
 
@@ -53,16 +52,9 @@
 };
 
 /// Receives the events of a Reader. Called from within the reader's methods.
-class ReaderEvents
+class ReaderEvents : public FactEvents
 {
 public:
-  virtual ~ReaderEvents();
-
-  /// A fact was received; `aOutcome` tells how it was applied.
-  virtual void OnFact(const Fact& aFact,
-                      FactOutcome aOutcome,
-                      Origin aOrigin) = 0;
-
   /// A call failed. `aFailures` counts the failures in a row, this one
   /// included; the next call is made no sooner than after `aPause`.
   virtual void OnCallFailed(const CallFailure& aFailure,
@@ -77,19 +69,6 @@
   virtual void OnListed(std::uint64_t aRevision, std::size_t aFacts) = 0;
 };
 
-/// Result of applying an update from another host.
-enum class UpdateOutcome : std::uint8_t
-{
-  /// The update was applied. It may hold no facts, in which case it confirms
-  /// that nothing has changed.
-  Applied,
-  /// The update ends at an older revision than is known here.
-  Stale,
-  /// The update starts at a newer revision than is known here, so changes in
-  /// between are missing.
-  Gap,
-};
-
 /// Lists the registry once and then watches it for changes; lists again when
 /// the registry has dropped the history that the watch needs, unless other
 /// hosts report later changes. Makes one call at a time, delays the next watch
@@ -156,7 +135,7 @@
 
   /// Returns the revision up to which all changes are known; 0 before the first
   /// listing or update.
-  std::uint64_t Revision() const { return m_revision; }
+  std::uint64_t Revision() const { return m_cache.History().End(); }
 
   /// Returns when a call to the registry last succeeded; the epoch if never.
   base::Instant AnsweredAt() const { return m_answeredAt; }
@@ -170,9 +149,7 @@
   bool IsFailing() const { return m_failures > 0; }
 
 private:
-  void Take(const std::vector<Fact>& aFacts,
-            Origin aOrigin,
-            base::Instant aNow);
+  void TakePage(const Page& aPage, base::Instant aNow);
   void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
   /// Whether the registry must be listed: nothing is known yet, or the changes
   /// after the known revision can't be watched.
@@ -192,8 +169,7 @@
   bool m_standsBy = false;
   std::string m_after;
   std::uint64_t m_listRevision = 0;
-  std::set<std::pair<FactKind, std::string>> m_found;
-  std::uint64_t m_revision = 0;
+  FactNames m_found;
   /// Revision that the watch in progress was called with, if one is.
   std::optional<std::uint64_t> m_watchedRevision;
   /// Revision after which the registry has no history. A watch is possible
--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -62,6 +62,8 @@
   return token == 0 ? 1 : token;
 }
 
+FactEvents::~FactEvents() = default;
+
 RegistryCache::RegistryCache() = default;
 RegistryCache::~RegistryCache() = default;
 
@@ -72,7 +74,7 @@
     case FactKind::Configuration:
       return ApplyConfiguration(aFact, aNow, aOrigin);
     case FactKind::Route:
-      return ApplyRoute(aFact, aNow, aOrigin);
+      return ApplyRoute(aFact, aNow);
     case FactKind::Server:
       return ApplyServer(aFact, aNow, aOrigin);
     case FactKind::ZoneOut:
@@ -83,6 +85,41 @@
   return FactOutcome::Unchanged;
 }
 
+UpdateOutcome
+RegistryCache::Learn(const RevisionRange& aRange,
+                     const std::vector<Fact>& aFacts,
+                     Origin aOrigin,
+                     base::Instant aNow,
+                     FactEvents& aEvents)
+{
+  const bool isWhole = aRange.m_from == 0;
+  if (aRange.m_to < m_history.End() || aRange.m_to == 0) {
+    return UpdateOutcome::Stale;
+  }
+  if (!isWhole && !m_history.CanAppend(aRange)) {
+    return UpdateOutcome::Gap;
+  }
+  FactNames found;
+  for (const Fact& fact : aFacts) {
+    // A change at a known revision may have been replaced since. Whole facts
+    // are all current.
+    const bool isKnown = !isWhole && m_history.Includes(fact.m_revision);
+    const FactOutcome outcome =
+      isKnown ? FactOutcome::Stale : Apply(fact, aNow, aOrigin);
+    aEvents.OnFact(fact, outcome, aOrigin);
+    if (isWhole) {
+      found.emplace(fact.m_kind, fact.m_name);
+    }
+  }
+  if (isWhole) {
+    EndListing(aRange.m_to, found, aNow);
+  } else {
+    m_history.Append(aRange);
+  }
+  m_routes.NoteComplete();
+  return UpdateOutcome::Applied;
+}
+
 FactOutcome
 RegistryCache::ApplyConfiguration(const Fact& aFact,
                                   base::Instant aNow,
@@ -98,10 +135,10 @@
 }
 
 FactOutcome
-RegistryCache::ApplyRoute(const Fact& aFact, base::Instant aNow, Origin aOrigin)
+RegistryCache::ApplyRoute(const Fact& aFact, base::Instant aNow)
 {
   if (const auto* route = std::get_if<Route>(&aFact.m_content)) {
-    return m_routes.Adopt(*route, aFact.m_revision, aOrigin);
+    return m_routes.Adopt(*route, aFact.m_revision);
   }
   const auto address = base::ParseEndpoint(aFact.m_name);
   if (!address || !std::holds_alternative<Removed>(aFact.m_content)) {
@@ -121,12 +158,25 @@
     return aFact.m_revision == belief->m_revision ? FactOutcome::Unchanged
                                                   : FactOutcome::Stale;
   }
+  const auto removal = m_removals.find(aFact.m_name);
+  if (removal != m_removals.end() &&
+      aFact.m_revision <= removal->second.m_revision) {
+    return FactOutcome::Stale;
+  }
   if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
+    m_removals.erase(aFact.m_name);
     return ApplyEntry(*server, aFact.m_revision, belief, aNow, aOrigin);
   }
   if (belief != nullptr) {
     return RemoveServer(*belief, aFact.m_revision, aNow);
   }
+  return RecordRemoval(aFact, aNow);
+}
+
+FactOutcome
+RegistryCache::RecordRemoval(const Fact& aFact, base::Instant aNow)
+{
+  m_removals[aFact.m_name] = { aFact.m_revision, aNow };
   return std::holds_alternative<Removed>(aFact.m_content)
            ? FactOutcome::Unchanged
            : FactOutcome::SetAside;
@@ -250,16 +300,14 @@
 }
 
 void
-RegistryCache::EndListing(
-  std::uint64_t aRevision,
-  const std::set<std::pair<FactKind, std::string>>& aFound,
-  base::Instant aNow)
+RegistryCache::EndListing(std::uint64_t aRevision,
+                          const FactNames& aFound,
+                          base::Instant aNow)
 {
-  if (!m_listed) {
-    // Removals before the first listing are unknown on this host.
-    m_forgottenRevision = std::max(m_forgottenRevision, aRevision);
+  if (aRevision < m_history.End()) {
+    return;
   }
-  m_listed = true;
+  m_history.AddState(aRevision);
   for (const auto& [id, belief] : m_byId) {
     if (belief->m_revision <= aRevision &&
         !aFound.contains({ FactKind::Server, id })) {
@@ -292,15 +340,27 @@
   for (const StartKey& start : forgotten) {
     Forget(start);
   }
-  m_forgottenRevision =
-    std::max(m_forgottenRevision, m_routes.Forget(aNow - kForgetAfter));
+  ForgetRemovals(aNow - kForgetAfter);
+  m_history.Forget(m_routes.Forget(aNow - kForgetAfter));
+}
+
+void
+RegistryCache::ForgetRemovals(base::Instant aBefore)
+{
+  std::erase_if(m_removals, [&](const auto& aOne) {
+    const bool forget = aOne.second.m_at < aBefore;
+    if (forget) {
+      m_history.Forget(aOne.second.m_revision);
+    }
+    return forget;
+  });
 }
 
 void
 RegistryCache::Forget(const StartKey& aStart)
 {
   const ServerRecord& belief = m_records.at(aStart);
-  m_forgottenRevision = std::max(m_forgottenRevision, belief.m_revision);
+  m_history.Forget(belief.m_revision);
   const auto latest = m_byId.find(aStart.first);
   if (latest != m_byId.end() && latest->second == &belief) {
     m_byId.erase(latest);
@@ -334,7 +394,7 @@
 RegistryCache::FactsSince(std::uint64_t aRevision, base::Instant aNow) const
 {
   const bool whole = aRevision == 0;
-  if (!whole && aRevision < m_forgottenRevision) {
+  if (!whole && !m_history.ReachesBackTo(aRevision)) {
     return std::nullopt;
   }
   std::vector<Fact> facts;
@@ -369,6 +429,11 @@
       aFacts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
     }
   }
+  for (const auto& [id, removal] : m_removals) {
+    if (aRevision != 0 && removal.m_revision > aRevision) {
+      aFacts.push_back({ FactKind::Server, id, removal.m_revision, Removed{} });
+    }
+  }
 }
 
 void
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wasabiloom/registry/Facts.h"
+#include "wasabiloom/registry/KnownHistory.h"
 #include "wasabiloom/registry/RouteTable.h"
 #include "wasabiloom/registry/ServiceIndex.h"
 
@@ -72,7 +73,34 @@
 /// difference is delay and no change.
 constexpr base::Duration kSameCold = std::chrono::milliseconds(1500);
 
-/// The registry's facts as known on this host. Never returns to an older
+/// Result of applying the changes in a range of revisions.
+enum class UpdateOutcome : std::uint8_t
+{
+  /// The changes were applied. There may be none, which confirms that nothing
+  /// has changed.
+  Applied,
+  /// The changes end at an older revision than is known here.
+  Stale,
+  /// The changes start at a newer revision than is known here, so changes in
+  /// between are missing.
+  Gap,
+};
+
+/// Receives the result of each fact that is applied.
+class FactEvents
+{
+public:
+  virtual ~FactEvents();
+
+  /// A fact was received; `aOutcome` tells how it was applied.
+  virtual void OnFact(const Fact& aFact,
+                      FactOutcome aOutcome,
+                      Origin aOrigin) = 0;
+};
+
+/// The registry's facts as known on this host, and the part of the registry's
+/// history that they cover. A single fact never extends that part; only
+/// complete listings and ranges of changes do. Never returns to an older
 /// revision of a fact or to an older version of the configuration. Not thread
 /// safe: use it from one thread at a time.
 class RegistryCache
@@ -92,11 +120,20 @@
                     base::Instant aNow,
                     Origin aOrigin = Origin::Peer);
 
+  /// Applies `aFacts`, the changes in `aRange`, or with `aRange.m_from` 0 all
+  /// facts at `aRange.m_to`. Changes at revisions that are already known are
+  /// stale.
+  UpdateOutcome Learn(const RevisionRange& aRange,
+                      const std::vector<Fact>& aFacts,
+                      Origin aOrigin,
+                      base::Instant aNow,
+                      FactEvents& aEvents);
+
   /// Completes a listing that began at `aRevision` and returned the facts named
   /// in `aFound`. Servers and zone entries known at that revision that were not
-  /// returned are removed.
+  /// returned are removed. Has no effect if a later state is known meanwhile.
   void EndListing(std::uint64_t aRevision,
-                  const std::set<std::pair<FactKind, std::string>>& aFound,
+                  const FactNames& aFound,
                   base::Instant aNow);
 
   /// Marks entries as gone that have been missing for longer than
@@ -104,11 +141,17 @@
   /// `kForgetAfter`. Call it regularly.
   void Tick(base::Instant aNow);
 
+  /// Returns the part of the registry's history that is known.
+  const KnownHistory& History() const { return m_history; }
+
   /// Returns whether a complete listing has been received.
-  bool HasCompleteListing() const { return m_listed; }
+  bool HasCompleteListing() const { return !m_history.IsEmpty(); }
 
   /// Returns whether a configuration and a complete listing have been received.
-  bool IsComplete() const { return m_listed && CurrentGlobal().m_version > 0; }
+  bool IsComplete() const
+  {
+    return HasCompleteListing() && CurrentGlobal().m_version > 0;
+  }
 
   /// Returns the current version of the configuration without its routes.
   const GlobalConfiguration& CurrentGlobal() const { return m_routes.Global(); }
@@ -142,8 +185,8 @@
   std::optional<base::Instant> ZoneOutSince(const std::string& aZone) const;
 
   /// Returns the facts that changed after `aRevision`, for another host to
-  /// apply; with 0, all current facts. Empty when removals after `aRevision`
-  /// are no longer recorded here, so that the changes would be incomplete.
+  /// apply; with 0, all current facts. Empty when not every change after
+  /// `aRevision` is known here.
   std::optional<std::vector<Fact>> FactsSince(std::uint64_t aRevision,
                                               base::Instant aNow) const;
 
@@ -153,6 +196,14 @@
   /// Id of a server and one of its starts.
   using StartKey = std::pair<std::string, std::uint64_t>;
 
+  /// Removal of the entry of a server that this host did not know. Another
+  /// host may know the server, and is sent the removal.
+  struct RemovalRecord
+  {
+    std::uint64_t m_revision = 0;
+    base::Instant m_at;
+  };
+
   struct ZoneRecord
   {
     bool m_out = false;
@@ -163,10 +214,11 @@
   FactOutcome ApplyConfiguration(const Fact& aFact,
                                  base::Instant aNow,
                                  Origin aOrigin);
-  FactOutcome ApplyRoute(const Fact& aFact, base::Instant aNow, Origin aOrigin);
+  FactOutcome ApplyRoute(const Fact& aFact, base::Instant aNow);
   FactOutcome ApplyServer(const Fact& aFact,
                           base::Instant aNow,
                           Origin aOrigin);
+  FactOutcome RecordRemoval(const Fact& aFact, base::Instant aNow);
   FactOutcome ApplyEntry(const Server& aServer,
                          std::uint64_t aRevision,
                          ServerRecord* aKnown,
@@ -182,22 +234,21 @@
                    Presence aPresence,
                    base::Instant aNow);
   void Forget(const StartKey& aStart);
+  void ForgetRemovals(base::Instant aBefore);
   void AppendServers(std::uint64_t aRevision,
                      base::Instant aNow,
                      std::vector<Fact>& aFacts) const;
   void AppendZones(std::uint64_t aRevision, std::vector<Fact>& aFacts) const;
 
   RouteTable m_routes;
-  /// Changes after an earlier revision than this are incomplete: removals up to
-  /// it were never recorded here, or their records were dropped.
-  std::uint64_t m_forgottenRevision = 0;
-  bool m_listed = false;
+  KnownHistory m_history;
   /// Owns the records; all other containers refer to them.
   std::map<StartKey, ServerRecord> m_records;
   /// Of several starts with the same token, that of the smallest id.
   std::unordered_map<std::uint32_t, ServerRecord*> m_byToken;
   /// The latest start under each id.
   std::map<std::string, ServerRecord*, std::less<>> m_byId;
+  std::map<std::string, RemovalRecord, std::less<>> m_removals;
   ServiceIndex m_byService;
   /// The starts that are not listed.
   std::set<StartKey> m_away;
--- a/src/wasabiloom/registry/RouteTable.cpp
+++ b/src/wasabiloom/registry/RouteTable.cpp
@@ -24,9 +24,12 @@
 FactOutcome
 RouteTable::Adopt(const GlobalConfiguration& aTerms, std::uint64_t aRevision)
 {
-  if (aTerms.m_version <= m_terms.m_version) {
-    return aTerms.m_version == m_terms.m_version ? FactOutcome::Unchanged
-                                                 : FactOutcome::Stale;
+  if (aTerms.m_version < m_terms.m_version) {
+    return FactOutcome::Stale;
+  }
+  if (aTerms.m_version == m_terms.m_version) {
+    m_revision = std::max(m_revision, aRevision);
+    return FactOutcome::Unchanged;
   }
   m_terms = aTerms;
   m_revision = aRevision;
@@ -43,27 +46,44 @@
                                       aConfiguration.m_services,
                                       aConfiguration.m_idleTimeout },
                                     aRevision);
-  if (outcome != FactOutcome::Adopted) {
+  if (outcome == FactOutcome::Stale) {
     return outcome;
   }
+  // The routes of a known version are compared too: this host may have put
+  // them together from parts.
+  bool hasChanged = outcome == FactOutcome::Adopted;
   std::unordered_set<std::uint64_t> named;
   named.reserve(aConfiguration.m_routes.size());
   for (const Route& route : aConfiguration.m_routes) {
     // The first of several routes at one address is used.
     if (named.insert(base::Pack(route.m_address)).second) {
-      Adopt(route, aRevision, aOrigin);
+      hasChanged |= Apply(route, aRevision, aOrigin) == FactOutcome::Adopted;
     }
   }
   for (const auto& [address, entry] : m_entries) {
     if (!named.contains(address)) {
-      Remove(entry.m_route.m_address, aRevision, aNow);
+      hasChanged |= ApplyRemoval(entry.m_route.m_address, aRevision, aNow) ==
+                    FactOutcome::Adopted;
     }
   }
-  return outcome;
+  if (aOrigin != Origin::Watch) {
+    m_history.AddState(m_revision);
+  }
+  NoteComplete();
+  return hasChanged ? FactOutcome::Adopted : FactOutcome::Unchanged;
+}
+
+FactOutcome
+RouteTable::Adopt(const Route& aRoute, std::uint64_t aRevision)
+{
+  if (m_history.Includes(aRevision)) {
+    return FactOutcome::Stale;
+  }
+  return Apply(aRoute, aRevision, Origin::Peer);
 }
 
 FactOutcome
-RouteTable::Adopt(const Route& aRoute, std::uint64_t aRevision, Origin aOrigin)
+RouteTable::Apply(const Route& aRoute, std::uint64_t aRevision, Origin aOrigin)
 {
   const auto [slot, isNew] =
     m_entries.try_emplace(base::Pack(aRoute.m_address));
@@ -86,6 +106,17 @@
 RouteTable::Remove(const base::Endpoint& aAddress,
                    std::uint64_t aRevision,
                    base::Instant aNow)
+{
+  if (m_history.Includes(aRevision)) {
+    return FactOutcome::Stale;
+  }
+  return ApplyRemoval(aAddress, aRevision, aNow);
+}
+
+FactOutcome
+RouteTable::ApplyRemoval(const base::Endpoint& aAddress,
+                         std::uint64_t aRevision,
+                         base::Instant aNow)
 {
   // The removal of an unknown route is recorded too: an older fact with that
   // route may still arrive.
@@ -105,6 +136,16 @@
   return isNew ? FactOutcome::Unchanged : FactOutcome::Adopted;
 }
 
+void
+RouteTable::NoteComplete()
+{
+  if (m_history.IsEmpty()) {
+    m_history.AddState(m_revision);
+  } else {
+    m_history.Append({ m_history.End(), m_revision });
+  }
+}
+
 const Route*
 RouteTable::Find(const base::Endpoint& aAddress) const
 {
@@ -136,6 +177,11 @@
   if (m_revision <= aRevision) {
     return;
   }
+  if (!m_history.ReachesBackTo(aRevision)) {
+    aFacts.push_back(
+      { FactKind::Configuration, "", m_revision, FullConfiguration() });
+    return;
+  }
   aFacts.push_back({ FactKind::Configuration, "", m_revision, m_terms });
   for (const auto& [address, entry] : m_entries) {
     if (entry.m_revision <= aRevision) {
--- a/src/wasabiloom/registry/RouteTable.h
+++ b/src/wasabiloom/registry/RouteTable.h
@@ -4,6 +4,7 @@
 
 #include "wasabiloom/base/Time.h"
 #include "wasabiloom/registry/Facts.h"
+#include "wasabiloom/registry/KnownHistory.h"
 
 #include <unordered_map>
 
@@ -33,9 +34,9 @@
 class RouteTable
 {
 public:
-  /// Applies a complete version that was published at `aRevision`. An unchanged
-  /// route counts as changed unless `aOrigin` is Watch: it may have been
-  /// different in a version that this host missed.
+  /// Applies a complete version that was published at `aRevision`. Unless
+  /// `aOrigin` is Watch, versions before it may have been missed: the changes
+  /// of its routes since earlier revisions are then unknown.
   FactOutcome Adopt(const Configuration& aConfiguration,
                     std::uint64_t aRevision,
                     Origin aOrigin,
@@ -45,11 +46,9 @@
   /// applied one by one.
   FactOutcome Adopt(const GlobalConfiguration& aTerms, std::uint64_t aRevision);
 
-  /// Applies one route that changed at `aRevision`; `aOrigin` has the same
-  /// meaning as for a complete version.
-  FactOutcome Adopt(const Route& aRoute,
-                    std::uint64_t aRevision,
-                    Origin aOrigin);
+  /// Applies one route that changed at `aRevision`. Stale if the routes of that
+  /// revision are all known.
+  FactOutcome Adopt(const Route& aRoute, std::uint64_t aRevision);
 
   /// Removes the route at `aAddress`, as published at `aRevision`. The removal
   /// is recorded until Forget drops it, so that older facts can't undo it.
@@ -57,6 +56,9 @@
                      std::uint64_t aRevision,
                      base::Instant aNow);
 
+  /// Notes that all changed routes of the current version have been applied.
+  void NoteComplete();
+
   /// Returns the route at `aAddress`, or null.
   const Route* Find(const base::Endpoint& aAddress) const;
 
@@ -70,7 +72,8 @@
   std::uint64_t Revision() const { return m_revision; }
 
   /// Appends the global configuration and the routes, removed ones included,
-  /// that changed after `aRevision`.
+  /// that changed after `aRevision`; the complete version if those changes are
+  /// not all known.
   void AppendChanges(std::uint64_t aRevision, std::vector<Fact>& aFacts) const;
 
   /// Drops the records of routes that were removed before `aBefore`; returns
@@ -86,8 +89,18 @@
     base::Instant m_removedAt;
   };
 
+  FactOutcome Apply(const Route& aRoute,
+                    std::uint64_t aRevision,
+                    Origin aOrigin);
+  FactOutcome ApplyRemoval(const base::Endpoint& aAddress,
+                           std::uint64_t aRevision,
+                           base::Instant aNow);
+
   GlobalConfiguration m_terms;
   std::uint64_t m_revision = 0;
+  /// Changes of routes that are known: up to the current version, or up to the
+  /// one before it while its parts are being applied.
+  KnownHistory m_history;
   std::unordered_map<std::uint64_t, Entry> m_entries;
   std::size_t m_removed = 0;
 };
--- a/tests/support/FleetNetHost.h
+++ b/tests/support/FleetNetHost.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "support/FleetNet.h"
+#include "support/NoEvents.h"
 #include "support/Problems.h"
 #include "wasabiloom/fleet/MessageCodec.h"
 #include "wasabiloom/registry/FactsCodec.h"
@@ -17,24 +18,6 @@
 /// A server's entry in the registry's answers, in bytes.
 constexpr double kListedEntry = 400;
 
-/// A reader's events that nobody asks for.
-class NoEvents final : public registry::ReaderEvents
-{
-public:
-  void OnFact(const registry::Fact& /*aFact*/,
-              registry::FactOutcome /*aOutcome*/,
-              registry::Origin /*aOrigin*/) override
-  {
-  }
-  void OnCallFailed(const registry::CallFailure& /*aFailure*/,
-                    std::uint32_t /*aFailures*/,
-                    base::Duration /*aPause*/) override
-  {
-  }
-  void OnReachable(std::uint64_t /*aRevision*/) override {}
-  void OnListed(std::uint64_t /*aRevision*/, std::size_t /*aFacts*/) override {}
-};
-
 /// One host: a reader with its call under way, and its part in the fleet.
 class FleetNet::Host final
   : public fleet::LocalFacts
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -205,6 +205,42 @@
           });
 }
 
+TEST(Reader, SendsAllFactsToAHostThatKnowsWhatItHasMissed)
+{
+  // Guards against a dropped route that stays on the other hosts: it was added
+  // and dropped while the host that reads for them stood still, and the history
+  // was dropped before it listed again.
+  ReaderUnderTest woken;
+  woken.List(10);
+  ReaderUnderTest other;
+  other.List(10);
+  const auto address = *base::ParseEndpoint("198.18.0.9:80");
+  registry::Configuration added;
+  added.m_version = 2;
+  added.m_routes = { { "new", address, { { "desk", 1 } } } };
+  other.m_reader.OnPeerUpdate({ 10,
+                                13,
+                                {},
+                                { { FactKind::Configuration, "", 12, added },
+                                  ServerFact(MakeServer("i-1"), 13) } },
+                              At(1));
+  ASSERT_NE(other.m_cache.FindRoute(address), nullptr);
+
+  woken.m_reader.Next(At(1));
+  woken.m_reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(1));
+  woken.m_reader.Next(At(2));
+  woken.m_reader.OnPage({ { ConfigurationFact(3, 15) }, "", 20 }, At(2));
+
+  const auto update =
+    woken.m_reader.UpdateSince(other.m_reader.Revision(), At(2));
+  ASSERT_TRUE(update);
+  EXPECT_EQ(update->m_fromRevision, 0U);
+  other.m_reader.OnPeerUpdate(*update, At(2));
+  EXPECT_EQ(other.m_cache.FindRoute(address), nullptr);
+  EXPECT_EQ(other.m_cache.FindByToken(MakeToken("i-1", 1))->m_presence,
+            Presence::Lapsed);
+}
+
 TEST(Reader, ConfirmsAListingThatMayBeStale)
 {
   ReaderUnderTest setup;
--- a/tests/unit/RegistryCacheTests.cpp
+++ b/tests/unit/RegistryCacheTests.cpp
@@ -328,6 +328,31 @@
   }
 }
 
+TEST(RegistryCache, SendsRemovalsOfServersThatItDidNotKnow)
+{
+  // Guards against a server that one host knows and that stays there for ever,
+  // as its removal reached the host through one that did not know the server.
+  RegistryCache relaying;
+  relaying.EndListing(10, {}, At(0));
+  relaying.Apply(RemovedFact(FactKind::Server, "i-1", 15), At(0));
+  const auto told = relaying.FactsSince(10, At(0));
+  ASSERT_TRUE(told);
+  EXPECT_EQ(*told, (std::vector{ RemovedFact(FactKind::Server, "i-1", 15) }));
+
+  Section("an older entry of such a server is stale", [&] {
+    EXPECT_EQ(relaying.Apply(ServerFact(MakeServer("i-1"), 12), At(1)),
+              FactOutcome::Stale);
+    EXPECT_EQ(relaying.Apply(ServerFact(MakeServer("i-1"), 16), At(1)),
+              FactOutcome::Adopted);
+  });
+  Section("a removal that is dropped leaves earlier changes incomplete", [&] {
+    relaying.Apply(RemovedFact(FactKind::Server, "i-2", 17), At(2));
+    relaying.Tick(At(100));
+    EXPECT_FALSE(relaying.FactsSince(16, At(100)));
+    EXPECT_TRUE(relaying.FactsSince(17, At(100)));
+  });
+}
+
 TEST(RegistryCache, CanBeRebuiltOnAnotherHostFromItsFacts)
 {
   RegistryCache here;
--- /dev/null
+++ b/tests/unit/RegistryOrderTests.cpp
@@ -0,0 +1,299 @@
+#include "support/NoEvents.h"
+#include "support/RegistryModel.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <variant>
+#include <vector>
+
+namespace wasabiloom::tests {
+
+using namespace std::chrono_literals;
+using registry::ReaderCall;
+using registry::RegistryUpdate;
+using Kind = ReaderCall::Kind;
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 400;
+constexpr int kSteps = 250;
+constexpr std::size_t kHosts = 3;
+
+/// Rounds of 0.4 s in which hosts recover once nothing fails, and calls of each
+/// host in a round.
+constexpr int kRecoveryRounds = 60;
+constexpr int kCallsARound = 4;
+
+/// Longest page of the registry, in values; some states take several pages.
+constexpr std::size_t kPageLength = 3;
+
+/// One start of a host, with the answer to its call that is on the way.
+struct Host
+{
+  registry::RegistryCache m_cache;
+  NoEvents m_events;
+  registry::Reader m_reader;
+  std::optional<ReaderCall> m_call;
+  std::optional<std::variant<registry::Page, registry::WatchResult>> m_answer;
+
+  explicit Host(std::uint64_t aSeed)
+    : m_reader({}, aSeed, m_cache, m_events)
+  {
+  }
+};
+
+/// Hosts and a registry to which events happen in a drawn order: changes, lost
+/// history, calls that are answered early, late or not at all, updates between
+/// hosts that arrive in any order and twice, and restarts.
+class DrawnEvents
+{
+public:
+  explicit DrawnEvents(std::uint64_t aSeed)
+    : m_random(aSeed)
+    , m_model(m_random)
+    , m_hosts(kHosts)
+  {
+    m_model.Change(m_now);
+    for (auto& host : m_hosts) {
+      Restart(host);
+    }
+  }
+
+  void Step()
+  {
+    auto& host = m_hosts[Draw(kHosts)];
+    const std::uint64_t event = Draw(100);
+    if (event < 22) {
+      m_model.Change(m_now);
+    } else if (event < 24) {
+      m_model.DropHistory();
+    } else if (event < 25) {
+      Restart(host);
+    } else if (event < 40) {
+      Call(*host);
+    } else if (event < 55) {
+      Answer(*host);
+    } else if (event < 70) {
+      Arrive(*host);
+    } else if (event < 80) {
+      SendUpdate(*host);
+    } else if (event < 92) {
+      ReceiveUpdate();
+    } else {
+      Pass(Draw(25) == 0 ? 80s : 400ms);
+    }
+  }
+
+  /// Checks that each host's state is that of the revision it claims to know,
+  /// in each part or a later one.
+  void ExpectTrueClaims() const
+  {
+    for (const auto& host : m_hosts) {
+      if (host->m_cache.HasCompleteListing()) {
+        ExpectKnown(*host);
+      }
+    }
+  }
+
+  /// Nothing fails or changes any more, and hosts only hear of each other that
+  /// nothing is new. Checks that all come to know the latest state.
+  void ExpectRecovery()
+  {
+    m_updates.clear();
+    for (int round = 0; round < kRecoveryRounds; ++round) {
+      for (auto& host : m_hosts) {
+        for (int call = 0; call < kCallsARound; ++call) {
+          Call(*host);
+          Answer(*host, true);
+          Arrive(*host, true);
+        }
+        SendUpdate(*host);
+      }
+      while (!m_updates.empty()) {
+        ReceiveUpdate();
+      }
+      Pass(400ms);
+    }
+    for (const auto& host : m_hosts) {
+      EXPECT_EQ(host->m_reader.Revision(), m_model.Revision());
+      EXPECT_TRUE(host->m_reader.IsConfirmed());
+      EXPECT_EQ(StateOf(host->m_cache), m_model.At(m_model.Revision()));
+    }
+  }
+
+private:
+  struct Sent
+  {
+    std::size_t m_to = 0;
+    RegistryUpdate m_update;
+  };
+
+  void Restart(std::unique_ptr<Host>& aHost)
+  {
+    aHost = std::make_unique<Host>(m_random());
+    aHost->m_reader.SetMaxUpdateAge(Draw(2) == 0 ? 0ms : 1800ms);
+  }
+
+  void Call(Host& aHost)
+  {
+    if (aHost.m_call) {
+      return;
+    }
+    const ReaderCall call = aHost.m_reader.Next(m_now);
+    if (call.m_kind != Kind::None) {
+      aHost.m_call = call;
+      aHost.m_answer.reset();
+    }
+  }
+
+  /// The registry answers; the answer has yet to arrive.
+  void Answer(Host& aHost, bool aIsLatest = false)
+  {
+    if (!aHost.m_call || aHost.m_answer) {
+      return;
+    }
+    if (aHost.m_call->m_kind == Kind::Watch) {
+      aHost.m_answer = m_model.Watch(aHost.m_call->m_revision);
+      return;
+    }
+    aHost.m_answer = m_model.List(aHost.m_call->m_afterKey,
+                                  DrawPageRevision(*aHost.m_call, aIsLatest),
+                                  kPageLength);
+  }
+
+  std::uint64_t DrawPageRevision(const ReaderCall& /*aCall*/,
+                                 bool /*aIsLatest*/)
+  {
+    return m_model.Revision();
+  }
+
+  void Arrive(Host& aHost, bool aIsSure = false)
+  {
+    if (!aHost.m_call || !aHost.m_answer) {
+      return;
+    }
+    aHost.m_call.reset();
+    if (!aIsSure && Draw(8) == 0) {
+      aHost.m_reader.OnFailure(
+        { base::ResultCode::PlatformUnavailable, "lost" }, m_now);
+    } else if (const auto* page =
+                 std::get_if<registry::Page>(&*aHost.m_answer)) {
+      aHost.m_reader.OnPage(*page, m_now);
+    } else {
+      ArriveWatch(aHost, std::get<registry::WatchResult>(*aHost.m_answer));
+    }
+    aHost.m_answer.reset();
+  }
+
+  void ArriveWatch(Host& aHost, const registry::WatchResult& aResult)
+  {
+    if (const auto* changes = std::get_if<registry::Changes>(&aResult)) {
+      aHost.m_reader.OnChanges(*changes, m_now);
+    } else {
+      aHost.m_reader.OnFailure(std::get<registry::CallFailure>(aResult), m_now);
+    }
+  }
+
+  /// A host sends another one what it lacks, by what it had just now or some
+  /// time before.
+  void SendUpdate(const Host& aFrom)
+  {
+    const std::size_t to = Draw(kHosts);
+    const std::uint64_t known = m_hosts[to]->m_reader.Revision();
+    const std::uint64_t since = Draw(4) == 0 ? Draw(known + 1) : known;
+    const auto update = aFrom.m_reader.UpdateSince(since, m_now);
+    if (update) {
+      m_updates.push_back({ to, *update });
+    }
+  }
+
+  void ReceiveUpdate()
+  {
+    if (m_updates.empty()) {
+      return;
+    }
+    const std::size_t at = Draw(m_updates.size());
+    const Sent sent = m_updates[at];
+    m_hosts[sent.m_to]->m_reader.OnPeerUpdate(sent.m_update, m_now);
+    const bool comesAgain = Draw(6) == 0;
+    if (!comesAgain) {
+      m_updates.erase(m_updates.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+  }
+
+  void Pass(base::Duration aSpan)
+  {
+    m_now += aSpan;
+    for (auto& host : m_hosts) {
+      host->m_cache.Tick(m_now);
+    }
+  }
+
+  void ExpectKnown(const Host& aHost) const
+  {
+    const ServedState has = StateOf(aHost.m_cache);
+    const std::uint64_t from = aHost.m_reader.Revision();
+    const auto holds = [&](const auto& aPart) {
+      for (std::uint64_t i = from; i <= m_model.Revision(); ++i) {
+        if (aPart(m_model.At(i)) == aPart(has)) {
+          return true;
+        }
+      }
+      return false;
+    };
+    for (const char* id : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
+      EXPECT_TRUE(holds([id](const ServedState& aState) {
+        const auto found = aState.m_servers.find(id);
+        return found == aState.m_servers.end() ? std::nullopt
+                                               : std::optional(found->second);
+      }))
+        << id;
+    }
+    for (const char* zone : { "a", "b" }) {
+      EXPECT_TRUE(holds([zone](const ServedState& aState) {
+        return aState.m_zonesOut.contains(zone);
+      }))
+        << zone;
+    }
+    EXPECT_TRUE(holds([](const ServedState& aState) {
+      return std::pair(aState.m_version, aState.m_routes);
+    }))
+      << "version " << has.m_version;
+  }
+
+  std::uint64_t Draw(std::uint64_t aBelow) { return m_random() % aBelow; }
+
+  std::mt19937_64 m_random;
+  base::Instant m_now = At(0);
+  RegistryModel m_model;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  std::vector<Sent> m_updates;
+};
+
+} // namespace
+
+TEST(RegistryOrder, HostsKnowWhatTheyClaimWhateverTheOrderOfEvents)
+{
+  // Guards against hosts that claim to know changes they have missed, and so
+  // keep dropped routes and servers that have left on other hosts.
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE(seed);
+    DrawnEvents events(seed);
+    for (int step = 0; step < kSteps; ++step) {
+      events.Step();
+      events.ExpectTrueClaims();
+      if (testing::Test::HasFailure()) {
+        FAIL() << "at step " << step;
+      }
+    }
+    events.ExpectRecovery();
+    if (testing::Test::HasFailure()) {
+      FAIL() << "after the last step";
+    }
+  }
+}
+
+} // namespace wasabiloom::tests
--- a/tests/unit/RouteTableTests.cpp
+++ b/tests/unit/RouteTableTests.cpp
@@ -35,11 +35,13 @@
   std::vector<registry::Fact> facts;
   aFrom.AppendChanges(aRevision, facts);
   for (const auto& fact : facts) {
-    if (const auto* terms =
-          std::get_if<registry::GlobalConfiguration>(&fact.m_content)) {
+    if (const auto* whole = std::get_if<Configuration>(&fact.m_content)) {
+      aTo.Adopt(*whole, fact.m_revision, Origin::Peer, At(0));
+    } else if (const auto* terms =
+                 std::get_if<registry::GlobalConfiguration>(&fact.m_content)) {
       aTo.Adopt(*terms, fact.m_revision);
     } else if (const auto* route = std::get_if<Route>(&fact.m_content)) {
-      aTo.Adopt(*route, fact.m_revision, Origin::Peer);
+      aTo.Adopt(*route, fact.m_revision);
     } else {
       aTo.Remove(*base::ParseEndpoint(fact.m_name), fact.m_revision, At(0));
     }
@@ -134,4 +136,35 @@
   EXPECT_EQ(*table.Find(kFirst.m_address), kFirst);
 }
 
+TEST(RouteTable, AppendsTheWholeVersionWhereEarlierOnesWereMissed)
+{
+  // Guards against routes of a version that one host missed and another has:
+  // the first can't name those that were dropped since.
+  RouteTable late;
+  late.Adopt(Version(3, { kThird }), 30, Origin::Listing, At(0));
+  RouteTable there;
+  there.Adopt(Version(2, { kFirst }), 20, Origin::Watch, At(0));
+  Bring(late, 20, there);
+  EXPECT_EQ(there.FullConfiguration(), late.FullConfiguration());
+
+  Section("routes of an older revision tell nothing to a whole version", [&] {
+    EXPECT_EQ(there.Adopt(kSecond, 25), FactOutcome::Stale);
+    EXPECT_EQ(there.Remove(kThird.m_address, 25, At(1)), FactOutcome::Stale);
+  });
+}
+
+TEST(RouteTable, ComparesTheRoutesOfAKnownVersion)
+{
+  // Guards against a route that stays for ever on a host that has put the
+  // version together from parts.
+  RouteTable table;
+  table.Adopt(Version(1, { kFirst, kSecond }), 10, Origin::Peer, At(0));
+  table.Adopt(registry::GlobalConfiguration{ 2, {}, {} }, 20);
+  EXPECT_EQ(table.Adopt(Version(2, { kFirst }), 20, Origin::Listing, At(1)),
+            FactOutcome::Adopted);
+  EXPECT_EQ(table.Find(kSecond.m_address), nullptr);
+  EXPECT_EQ(table.Adopt(Version(2, { kFirst }), 20, Origin::Listing, At(2)),
+            FactOutcome::Unchanged);
+}
+
 } // namespace wasabiloom::tests
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -67,11 +67,14 @@
     m_host.NextCall(At(0));
   }
 
-  /// Answers the watch of the host with `aFacts` at `aSeconds`.
+  /// Answers the watch of the host with `aFacts` at `aSeconds`, at the revision
+  /// of the latest of them.
   void Change(const std::vector<registry::Fact>& aFacts, double aSeconds)
   {
-    m_host.OnWatchAnswer(registry::Changes{ aFacts, ++m_revision },
-                         At(aSeconds));
+    for (const registry::Fact& fact : aFacts) {
+      m_revision = std::max(m_revision, fact.m_revision);
+    }
+    m_host.OnWatchAnswer(registry::Changes{ aFacts, m_revision }, At(aSeconds));
     m_host.NextCall(At(aSeconds + 1));
   }
 
@@ -108,7 +111,7 @@
                     1,
                     m_codec,
                     m_effects };
-  std::uint64_t m_revision = 100;
+  std::uint64_t m_revision = 10;
   double m_now = 0;
 };
 
