A number larger than needed doesn't refuse a whole configuration

Ruled out: the store's answer and the codec between hosts; the decoder's own log line names the field.

--- a/tests/unit/FactDecoderTests.cpp
+++ b/tests/unit/FactDecoderTests.cpp
@@ -145,6 +145,38 @@
   });
 }
 
+TEST(FactDecoder, TakesNumbersThatAreLargerThanItNeeds)
+{
+  // Guards against a configuration that no host takes, as a number in it is
+  // larger than this project expected: its dropped routes were served on.
+  const auto idleOf = [](const json& aMilliseconds) {
+    json config = Config();
+    config["Limits"]["IdleTimeoutMs"] = aMilliseconds;
+    const auto fact = DecodeValue("op/config", config.dump(), 2);
+    const auto* read = std::get_if<registry::Configuration>(&fact.m_content);
+    return read == nullptr ? base::Duration(-1) : read->m_idleTimeout;
+  };
+  EXPECT_EQ(idleOf(604'800'000), std::chrono::hours(24 * 7));
+  EXPECT_EQ(idleOf(0), base::Duration::zero());
+  EXPECT_GT(idleOf(UINT64_MAX), std::chrono::hours(24 * 365 * 100));
+  EXPECT_GT(idleOf(1e300), std::chrono::hours(24 * 365 * 100));
+
+  Section("a weight", [] {
+    json config = Config();
+    config["Routes"][0]["Split"][0]["Weight"] = 5'000'000;
+    const auto fact = DecodeValue("op/config", config.dump(), 2);
+    const auto& read = std::get<registry::Configuration>(fact.m_content);
+    EXPECT_EQ(read.m_routes[0].m_shares[0].m_weight, 5'000'000U);
+  });
+  Section("the time for which a server stays cold", [] {
+    json entry = Entry();
+    entry["ColdRemainingMs"] = UINT64_MAX;
+    const auto fact = DecodeValue("servers/i-1", entry.dump(), 2);
+    EXPECT_EQ(std::get<registry::Server>(fact.m_content).m_coldRemaining,
+              std::chrono::hours(1));
+  });
+}
+
 TEST(FactDecoder, ReadsAZoneOutWhateverItsValue)
 {
   for (const char* value : { "{}", "", "junk" }) {
