A listing is known as of its oldest page

Cause: the revision of the first page counted as that of the listing. A later page from an older copy lacks changes that the watch from that revision doesn't repeat. Change: the watch starts at the oldest page's revision. The same on related paths: a page older than what a peer's facts made known tells nothing (it brought back removed servers and zones out of service), and facts are current only as of a watch's answer or of a complete listing that may not be stale, not as of each page. Ruled out: reading all pages afresh, which costs ten times as much and holds only for stores whose fresh pages grow newer; taking the newest page.

--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -37,13 +37,13 @@
   ReaderCall call;
   if (lists) {
     call.m_kind = ReaderCall::Kind::List;
-    call.m_afterKey = m_after;
+    call.m_afterKey = m_listing.m_after;
     call.m_mayBeStale = m_mayBeStale;
     call.m_timeout = m_timing.m_answerTimeout;
     return call;
   }
   // A listing that was left unfinished does not go on after a watch.
-  m_after.clear();
+  m_listing = {};
   m_watchedRevision = Revision();
   call.m_kind = ReaderCall::Kind::Watch;
   call.m_revision = Revision();
@@ -63,35 +63,61 @@
   m_inCall = false;
   m_due = aNow;
   NoteAnswer(aPage.m_revision, aNow);
-  if (m_after.empty()) {
-    m_listRevision = aPage.m_revision;
-    m_found.clear();
+  if (m_listing.m_after.empty()) {
+    m_listing = { "", aPage.m_revision, {}, aNow };
   }
   TakePage(aPage, aNow);
-  m_after = aPage.m_nextKey;
-  if (!m_after.empty()) {
-    return;
+  m_listing.m_after = aPage.m_nextKey;
+  if (m_listing.m_after.empty()) {
+    EndListing(aNow);
   }
+}
+
+void
+Reader::TakePage(const Page& aPage, base::Instant aNow)
+{
+  m_listing.m_revision = std::min(m_listing.m_revision, aPage.m_revision);
+  // A page that is older than what is known tells nothing. Its values may have
+  // been removed since.
+  const bool isOld = aPage.m_revision < Revision();
+  for (const Fact& fact : aPage.m_facts) {
+    m_listing.m_found.emplace(fact.m_kind, fact.m_name);
+    const FactOutcome outcome =
+      isOld ? FactOutcome::Stale : m_cache.Apply(fact, aNow, Origin::Listing);
+    m_events.OnFact(fact, outcome, Origin::Listing);
+  }
+}
+
+void
+Reader::EndListing(base::Instant aNow)
+{
   // The pages of a listing are no snapshot, so the watch starts at the revision
-  // of the first page to receive what changed while the listing ran.
+  // of the oldest page to receive what changed while the listing ran.
   m_unwatchableRevision.reset();
-  m_confirmed = m_confirmed || !m_mayBeStale;
-  m_cache.EndListing(m_listRevision, m_found, aNow);
-  m_events.OnListed(m_listRevision, m_found.size());
-  m_found.clear();
+  m_cache.EndListing(m_listing.m_revision, m_listing.m_found, aNow);
+  if (!m_mayBeStale) {
+    m_confirmed = true;
+    m_learnedAt = std::max(m_learnedAt, m_listing.m_begunAt);
+  }
+  m_events.OnListed(m_listing.m_revision, m_listing.m_found.size());
+  m_listing = {};
 }
 
 void
 Reader::OnChanges(const Changes& aChanges, base::Instant aNow)
 {
   m_inCall = false;
-  m_confirmed = true;
   NoteAnswer(aChanges.m_revision, aNow);
-  m_cache.Learn({ m_watchedRevision.value_or(Revision()), aChanges.m_revision },
-                aChanges.m_facts,
-                Origin::Watch,
-                aNow,
-                m_events);
+  const UpdateOutcome outcome = m_cache.Learn(
+    { m_watchedRevision.value_or(Revision()), aChanges.m_revision },
+    aChanges.m_facts,
+    Origin::Watch,
+    aNow,
+    m_events);
+  if (outcome == UpdateOutcome::Applied) {
+    m_confirmed = true;
+    m_learnedAt = aNow;
+  }
   m_due = aChanges.m_facts.empty() ? aNow : aNow + m_timing.m_pauseAfterChanges;
 }
 
@@ -184,21 +210,10 @@
   }
 }
 
-void
-Reader::TakePage(const Page& aPage, base::Instant aNow)
-{
-  for (const Fact& fact : aPage.m_facts) {
-    m_found.emplace(fact.m_kind, fact.m_name);
-    const FactOutcome outcome = m_cache.Apply(fact, aNow, Origin::Listing);
-    m_events.OnFact(fact, outcome, Origin::Listing);
-  }
-}
-
 void
 Reader::NoteAnswer(std::uint64_t aRevision, base::Instant aNow)
 {
   m_answeredAt = aNow;
-  m_learnedAt = aNow;
   if (m_failures > 0 || !m_reached) {
     m_events.OnReachable(aRevision);
   }
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -149,7 +149,20 @@
   bool IsFailing() const { return m_failures > 0; }
 
 private:
+  /// A listing in progress.
+  struct Listing
+  {
+    /// Key after which the next page begins; empty before the first page.
+    std::string m_after;
+    /// Revision of the oldest page. Pages can be of different age, also a later
+    /// page older than an earlier one.
+    std::uint64_t m_revision = 0;
+    FactNames m_found;
+    base::Instant m_begunAt;
+  };
+
   void TakePage(const Page& aPage, base::Instant aNow);
+  void EndListing(base::Instant aNow);
   void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
   /// Whether the registry must be listed: nothing is known yet, or the changes
   /// after the known revision can't be watched.
@@ -167,9 +180,7 @@
   bool m_hurried = false;
   base::Duration m_maxUpdateAge{ 0 };
   bool m_standsBy = false;
-  std::string m_after;
-  std::uint64_t m_listRevision = 0;
-  FactNames m_found;
+  Listing m_listing;
   /// Revision that the watch in progress was called with, if one is.
   std::optional<std::uint64_t> m_watchedRevision;
   /// Revision after which the registry has no history. A watch is possible
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -241,6 +241,73 @@
             Presence::Lapsed);
 }
 
+TEST(Reader, WatchesFromTheOldestPageOfAListing)
+{
+  // Guards against a draining server that counts as ready after a restart: a
+  // later page of the listing was older than the first one.
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "k", 20 }, At(0));
+  reader.Next(At(0));
+  const auto server = MakeServer("i-1");
+  reader.OnPage({ { ServerFact(server, 5) }, "", 10 }, At(0));
+  EXPECT_EQ(reader.Revision(), 10U);
+  EXPECT_EQ(reader.Next(At(0)).m_revision, 10U);
+
+  auto leaving = server;
+  leaving.m_state = ServerState::Draining;
+  reader.OnChanges({ { ServerFact(leaving, 15) }, 20 }, At(0));
+  EXPECT_EQ(setup.m_cache.FindByToken(MakeToken("i-1", 1))->m_server.m_state,
+            ServerState::Draining);
+}
+
+TEST(Reader, TakesNothingFromAPageThatIsOlderThanWhatIsKnown)
+{
+  // Guards against servers and zones out of service that come back: they were
+  // removed by the facts of another host while the listing ran.
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "k", 10 }, At(0));
+  reader.Next(At(0));
+  reader.OnPeerUpdate({ 0, 20, {}, { ConfigurationFact(1, 1) } }, At(0));
+  reader.OnPage(
+    { { ServerFact(MakeServer("i-1"), 5), ZoneOutFact("a", 6) }, "", 12 },
+    At(0));
+  EXPECT_EQ(setup.m_cache.FindByToken(MakeToken("i-1", 1)), nullptr);
+  EXPECT_FALSE(setup.m_cache.ZoneOutSince("a"));
+  EXPECT_EQ(reader.Revision(), 20U);
+}
+
+TEST(Reader, IsCurrentOnlyAsOfACompleteFreshAnswer)
+{
+  // Guards against a host that tells others that its facts are current while it
+  // has read only part of them, or a copy that may be old.
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "", 10 }, At(0));
+  EXPECT_EQ(reader.LearnedAt(), base::Instant{});
+  reader.Next(At(1));
+  reader.OnChanges({ {}, 10 }, At(1));
+  EXPECT_EQ(reader.LearnedAt(), At(1));
+
+  Section("a page of a fresh listing is not all of it", [&] {
+    reader.Next(At(2));
+    reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(2));
+    reader.Next(At(3));
+    reader.OnPage({ { ConfigurationFact(1, 1) }, "k", 20 }, At(3));
+    EXPECT_EQ(reader.LearnedAt(), At(1));
+  });
+  Section("its last page makes the facts current as of the first", [&] {
+    reader.Next(At(4));
+    reader.OnPage({ {}, "", 25 }, At(4));
+    EXPECT_EQ(reader.LearnedAt(), At(3));
+    EXPECT_EQ(reader.Revision(), 20U);
+  });
+}
+
 TEST(Reader, ConfirmsAListingThatMayBeStale)
 {
   ReaderUnderTest setup;
--- a/tests/unit/RegistryOrderTests.cpp
+++ b/tests/unit/RegistryOrderTests.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <random>
@@ -27,6 +28,9 @@
 constexpr int kRecoveryRounds = 60;
 constexpr int kCallsARound = 4;
 
+/// Age of the oldest copy of the registry that answers, in revisions.
+constexpr std::uint64_t kOldestCopy = 6;
+
 /// Longest page of the registry, in values; some states take several pages.
 constexpr std::size_t kPageLength = 3;
 
@@ -38,6 +42,10 @@
   registry::Reader m_reader;
   std::optional<ReaderCall> m_call;
   std::optional<std::variant<registry::Page, registry::WatchResult>> m_answer;
+  base::Instant m_answeredAt;
+  /// Longest time that its knowledge has spent on the way, which a host can't
+  /// tell.
+  base::Duration m_onTheWay{ 0 };
 
   explicit Host(std::uint64_t aSeed)
     : m_reader({}, aSeed, m_cache, m_events)
@@ -46,8 +54,8 @@
 };
 
 /// Hosts and a registry to which events happen in a drawn order: changes, lost
-/// history, calls that are answered early, late or not at all, updates between
-/// hosts that arrive in any order and twice, and restarts.
+/// history, calls that are answered early, late, from an old copy or not at
+/// all, updates between hosts that arrive in any order and twice, and restarts.
 class DrawnEvents
 {
 public:
@@ -88,12 +96,15 @@
   }
 
   /// Checks that each host's state is that of the revision it claims to know,
-  /// in each part or a later one.
+  /// in each part or a later one, and that this revision was the latest at the
+  /// time as of which the host claims to be current.
   void ExpectTrueClaims() const
   {
     for (const auto& host : m_hosts) {
       if (host->m_cache.HasCompleteListing()) {
         ExpectKnown(*host);
+        const auto asOf = host->m_reader.LearnedAt() - host->m_onTheWay;
+        EXPECT_GE(host->m_reader.Revision(), m_model.RevisionBefore(asOf));
       }
     }
   }
@@ -107,7 +118,7 @@
       for (auto& host : m_hosts) {
         for (int call = 0; call < kCallsARound; ++call) {
           Call(*host);
-          Answer(*host, true);
+          Answer(*host);
           Arrive(*host, true);
         }
         SendUpdate(*host);
@@ -129,6 +140,8 @@
   {
     std::size_t m_to = 0;
     RegistryUpdate m_update;
+    base::Instant m_at;
+    base::Duration m_onTheWay{ 0 };
   };
 
   void Restart(std::unique_ptr<Host>& aHost)
@@ -150,24 +163,22 @@
   }
 
   /// The registry answers; the answer has yet to arrive.
-  void Answer(Host& aHost, bool aIsLatest = false)
+  void Answer(Host& aHost)
   {
     if (!aHost.m_call || aHost.m_answer) {
       return;
     }
+    aHost.m_answeredAt = m_now;
     if (aHost.m_call->m_kind == Kind::Watch) {
       aHost.m_answer = m_model.Watch(aHost.m_call->m_revision);
       return;
     }
-    aHost.m_answer = m_model.List(aHost.m_call->m_afterKey,
-                                  DrawPageRevision(*aHost.m_call, aIsLatest),
-                                  kPageLength);
-  }
-
-  std::uint64_t DrawPageRevision(const ReaderCall& /*aCall*/,
-                                 bool /*aIsLatest*/)
-  {
-    return m_model.Revision();
+    const std::uint64_t lag =
+      aHost.m_call->m_mayBeStale ? Draw(kOldestCopy + 1) : 0;
+    aHost.m_answer =
+      m_model.List(aHost.m_call->m_afterKey,
+                   m_model.Revision() - std::min(lag, m_model.Revision() - 1),
+                   kPageLength);
   }
 
   void Arrive(Host& aHost, bool aIsSure = false)
@@ -176,6 +187,7 @@
       return;
     }
     aHost.m_call.reset();
+    aHost.m_onTheWay = std::max(aHost.m_onTheWay, m_now - aHost.m_answeredAt);
     if (!aIsSure && Draw(8) == 0) {
       aHost.m_reader.OnFailure(
         { base::ResultCode::PlatformUnavailable, "lost" }, m_now);
@@ -206,7 +218,7 @@
     const std::uint64_t since = Draw(4) == 0 ? Draw(known + 1) : known;
     const auto update = aFrom.m_reader.UpdateSince(since, m_now);
     if (update) {
-      m_updates.push_back({ to, *update });
+      m_updates.push_back({ to, *update, m_now, aFrom.m_onTheWay });
     }
   }
 
@@ -217,7 +229,10 @@
     }
     const std::size_t at = Draw(m_updates.size());
     const Sent sent = m_updates[at];
-    m_hosts[sent.m_to]->m_reader.OnPeerUpdate(sent.m_update, m_now);
+    Host& host = *m_hosts[sent.m_to];
+    host.m_reader.OnPeerUpdate(sent.m_update, m_now);
+    host.m_onTheWay =
+      std::max(host.m_onTheWay, sent.m_onTheWay + (m_now - sent.m_at));
     const bool comesAgain = Draw(6) == 0;
     if (!comesAgain) {
       m_updates.erase(m_updates.begin() + static_cast<std::ptrdiff_t>(at));
