A deeply nested value is refused before it takes memory

Reported by other operators: one odd entry (deeply nested, a number too large, a port out of range) ended the machines that read the list, again and again. Cause here: the parser builds a tree of whatever it is given. A mebibyte of brackets took 78 MB and 0.2 s of a core; a weak host has 99 MB and 0.12 cores. A number too large and a port out of range were set aside before. Ruled out: the stack, since the library neither parses nor frees by recursion; the parser's callback with a depth, which slows down each sound value.

--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -91,6 +91,14 @@
 # An entry that can't be used is set aside and harms nothing.
 echo '{"Service": 3}' >"$work/store/servers/i-bad"
 await "an entry set aside by the host that reads" any_logged "event=fact_set_aside kind=server name=i-bad"
+entry i-bad2 127.78.1.1:70000 ready
+await "an entry with a port out of range set aside" any_logged "event=fact_set_aside kind=server name=i-bad2"
+head -c 1000000 /dev/zero | tr '\0' '[' >"$work/store/servers/i-bad3"
+await "a deeply nested entry set aside" any_logged "event=fact_set_aside kind=server name=i-bad3"
+for host in h1 h2; do
+  peak=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\) kB/\1/p' "/proc/${pids[$host]}/status")
+  ((peak < 64 * 1024)) || fail "$host took $peak KB for odd entries"
+done
 more_answers 50
 healthy
 
--- a/tests/unit/FactDecoderTests.cpp
+++ b/tests/unit/FactDecoderTests.cpp
@@ -7,6 +7,8 @@
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <sys/resource.h>
+
 namespace wasabiloom::tests {
 
 using base::ResultCode;
@@ -105,11 +107,19 @@
     EXPECT_NE(WhyUnusable("servers/i-1", odd.dump()), "usable") << field;
   }
   const std::map<std::string, json> values = {
-    { "State", "asleep" },    { "Address", "nowhere:1" },
-    { "Address", "1.2.3.4" }, { "Slots", 0 },
-    { "Slots", -3 },          { "Slots", 1.5 },
-    { "born", 1.5 },          { "Service", "" },
+    { "State", "asleep" },
+    { "Address", "nowhere:1" },
+    { "Address", "1.2.3.4" },
+    { "Slots", 0 },
+    { "Slots", -3 },
+    { "Slots", 1.5 },
+    { "born", 1.5 },
+    { "Service", "" },
     { "Zone", "" },
+    { "Address", "10.128.0.9:70000" },
+    { "Slots", 1e30 },
+    { "born", 1e30 },
+    { "Address", "10.128.0.9:99999999999999999999" },
   };
   for (const auto& [field, value] : values) {
     json entry = Entry();
@@ -121,6 +131,36 @@
   EXPECT_THAT(WhyUnusable("servers/", Entry().dump()), HasSubstr("hex"));
   EXPECT_NE(WhyUnusable("servers/i-1", "\xff\xfe{"), "usable");
   EXPECT_NE(WhyUnusable("servers/i-1", "[]"), "usable");
+  EXPECT_NE(WhyUnusable("servers/i-1", R"({"born":1e999})"), "usable");
+}
+
+TEST(FactDecoder, SetsAValueAsideThatWouldTakeMuchMemory)
+{
+  // Guards against hosts that end again and again, as one odd entry is nested
+  // so deeply that a parsed copy exceeds the memory of a small machine.
+  constexpr std::size_t kMebibyte = 1024 * 1024;
+  constexpr long kMoreKilobytes = 16 * 1024;
+  const std::string nested(kMebibyte, '[');
+  rusage before{};
+  getrusage(RUSAGE_SELF, &before);
+  EXPECT_THAT(WhyUnusable("op/config", nested), HasSubstr("nested"));
+  EXPECT_NE(WhyUnusable("servers/i-1", nested), "usable");
+  EXPECT_TRUE(
+    std::holds_alternative<registry::CallFailure>(DecodeRange(nested)));
+  rusage after{};
+  getrusage(RUSAGE_SELF, &after);
+  EXPECT_LT(after.ru_maxrss - before.ru_maxrss, kMoreKilobytes);
+
+  Section("an entry that is much longer than any sound one", [] {
+    json entry = Entry();
+    entry["More"] = std::string(kMebibyte / 2, 'x');
+    EXPECT_THAT(WhyUnusable("servers/i-1", entry.dump()), HasSubstr("long"));
+  });
+  Section("brackets in a text are no nesting", [] {
+    json entry = Entry();
+    entry["More"] = std::string(1000, '[') + "\"\\";
+    EXPECT_EQ(WhyUnusable("servers/i-1", entry.dump()), "usable");
+  });
 }
 
 TEST(FactDecoder, ReadsTheConfiguration)
