One part that can't be read doesn't hide what is beside it

Seen by tests: an item without a readable key, revision or value failed its whole page or watch's answer, which was asked for again without end; an odd route, service or idle timeout refused the whole configuration; bytes that are no UTF-8 in one key failed the answer. A page with more after it and no items counted as the last one. Cause: the decoder's errors left the unit around the odd part. Change: items, routes, services and limits that can't be read are left out alone, named in the log (fact_set_aside, fact_part_set_aside) and counted. Ruled out: refusing the configuration, since then no later version is in force either.

--- a/src/wasabiloom/registry/Facts.h
+++ b/src/wasabiloom/registry/Facts.h
@@ -77,6 +77,10 @@
   Draining,
 };
 
+/// Longest time for which a server counts as cold by one entry. One that says
+/// that it stays cold for longer writes its entry again before.
+constexpr base::Duration kMaxColdRemaining = std::chrono::hours(1);
+
 /// The entry that a backend server publishes in the registry.
 struct Server
 {
@@ -125,6 +129,8 @@
   ZoneOut,
   /// One route of the configuration; its address is the name of the fact.
   Route,
+  /// A value of none of these kinds, or an item that can't be read; it then has
+  /// no name.
   Other,
 };
 
@@ -160,6 +166,9 @@
   /// every change in the registry.
   std::uint64_t m_revision = 0;
   FactContent m_content;
+  /// Parts of the value that can't be read and are left out of the content,
+  /// each with the reason.
+  std::vector<std::string> m_leftOut{};
 
   friend auto operator<=>(const Fact&, const Fact&) = default;
 };
--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -82,7 +82,7 @@
     case FactKind::Other:
       break;
   }
-  return FactOutcome::Unchanged;
+  return aFact.m_name.empty() ? FactOutcome::SetAside : FactOutcome::Unchanged;
 }
 
 UpdateOutcome
@@ -140,11 +140,10 @@
   if (const auto* route = std::get_if<Route>(&aFact.m_content)) {
     return m_routes.Adopt(*route, aFact.m_revision);
   }
+  // A route that can't be read names no service to use.
   const auto address = base::ParseEndpoint(aFact.m_name);
-  if (!address || !std::holds_alternative<Removed>(aFact.m_content)) {
-    return FactOutcome::SetAside;
-  }
-  return m_routes.Remove(*address, aFact.m_revision, aNow);
+  return address ? m_routes.Remove(*address, aFact.m_revision, aNow)
+                 : FactOutcome::SetAside;
 }
 
 FactOutcome
--- a/src/wasabiloom/token/RegistryEventLog.cpp
+++ b/src/wasabiloom/token/RegistryEventLog.cpp
@@ -1,5 +1,7 @@
 #include "wasabiloom/token/RegistryEventLog.h"
 
+#include <algorithm>
+
 namespace wasabiloom::token {
 
 namespace {
@@ -76,6 +78,9 @@
     return;
   }
   Count(aFact, aOutcome);
+  if (aOutcome == registry::FactOutcome::Adopted) {
+    ReportLeftOut(aFact);
+  }
   const std::string what = "fact_" + std::string(ToString(aOutcome));
   if (aOrigin == registry::Origin::Watch ||
       aOutcome == registry::FactOutcome::SetAside) {
@@ -85,6 +90,19 @@
   }
 }
 
+void
+RegistryEventLog::ReportLeftOut(const registry::Fact& aFact)
+{
+  m_totals.m_factsSetAside += aFact.m_leftOut.size();
+  for (std::size_t i = 0; i < std::min(aFact.m_leftOut.size(), kNamedFacts);
+       ++i) {
+    m_effects.LogStateChange(
+      "fact_part_set_aside",
+      DescribeFact(aFact) + " parts=" + std::to_string(aFact.m_leftOut.size()) +
+        " why=\"" + aFact.m_leftOut[i] + "\"");
+  }
+}
+
 void
 RegistryEventLog::Count(const registry::Fact& aFact,
                         registry::FactOutcome aOutcome)
--- a/src/wasabiloom/token/RegistryEventLog.h
+++ b/src/wasabiloom/token/RegistryEventLog.h
@@ -35,6 +35,8 @@
 
 private:
   void Count(const registry::Fact& aFact, registry::FactOutcome aOutcome);
+  /// Logs the first parts of a value that could not be read.
+  void ReportLeftOut(const registry::Fact& aFact);
 
   Totals& m_totals;
   TokenEffects& m_effects;
