One fact of a peer that can't be read doesn't hide the others

Cause: DecodeUpdate refused all facts for one, and believed a server without slots, address or name, a cold time without end, and an age from the future. Change: such a fact counts as malformed, as a value of the registry would: a server then gets no flows, a route none, the others hold. An update with a negative age is refused, since it would make a host believe that it is current. Ruled out: leaving the fact out, since the receiver would keep what it replaced. Measured: FactsCodec.ReadsTheFactsBesideOneThatCannotBeRead failed before and passes.

--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -91,6 +91,19 @@
   return configuration;
 }
 
+/// Throws unless `aServer` could be the entry of a server.
+void
+Check(const Server& aServer)
+{
+  const bool isNamed = !aServer.m_id.empty() && !aServer.m_service.empty() &&
+                       !aServer.m_zone.empty();
+  if (!isNamed || aServer.m_slots == 0 || aServer.m_address.m_port == 0 ||
+      aServer.m_coldRemaining < base::Duration::zero() ||
+      aServer.m_coldRemaining > kMaxColdRemaining) {
+    throw std::invalid_argument("entry names no server to use");
+  }
+}
+
 Server
 Read(const wire::Server& aServer, const std::string& aId)
 {
@@ -105,6 +118,7 @@
   server.m_state =
     aServer.draining() ? ServerState::Draining : ServerState::Ready;
   server.m_coldRemaining = base::Duration(aServer.cold_ns());
+  Check(server);
   return server;
 }
 
@@ -195,19 +209,25 @@
   return false;
 }
 
+/// Returns the fact in `aFact`; one that can't be read is malformed, so that it
+/// does not hide the others.
 Fact
 Read(const wire::Fact& aFact)
 {
   if (aFact.kind() >= static_cast<std::uint32_t>(FactKind::Other)) {
-    throw std::invalid_argument("fact has an unknown kind");
+    return { FactKind::Other, "", 0, MalformedValue{ "unknown kind" } };
   }
-  Fact fact;
-  fact.m_kind = static_cast<FactKind>(aFact.kind());
-  fact.m_name = aFact.name();
-  fact.m_revision = aFact.revision();
-  fact.m_content = ReadContent(aFact);
-  if (!Fits(fact.m_kind, fact.m_content)) {
-    throw std::invalid_argument("content of the fact does not match its kind");
+  Fact fact{ static_cast<FactKind>(aFact.kind()),
+             aFact.name(),
+             aFact.revision(),
+             MalformedValue{ "content does not match the kind" } };
+  try {
+    FactContent content = ReadContent(aFact);
+    if (Fits(fact.m_kind, content)) {
+      fact.m_content = std::move(content);
+    }
+  } catch (const std::invalid_argument& failure) {
+    fact.m_content = MalformedValue{ failure.what() };
   }
   return fact;
 }
@@ -312,6 +332,9 @@
     if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
       throw std::invalid_argument("registry update cannot be parsed");
     }
+    if (message.age_ns() < 0) {
+      throw std::invalid_argument("registry update has a negative age");
+    }
     return RegistryUpdate{ message.from(),
                            message.to(),
                            base::Duration(message.age_ns()),
--- a/tests/unit/FactsCodecTests.cpp
+++ b/tests/unit/FactsCodecTests.cpp
@@ -1,10 +1,13 @@
 #include "support/Problems.h"
 #include "support/Registry.h"
+#include "support/Section.h"
 #include "wasabiloom/registry/FactsCodec.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+
 namespace wasabiloom::tests {
 
 using namespace std::chrono_literals;
@@ -60,6 +63,45 @@
   }
 }
 
+TEST(FactsCodec, ReadsTheFactsBesideOneThatCannotBeRead)
+{
+  // Guards against a host that refuses all that its peers send for one fact.
+  RegistryUpdate update = Sample();
+  const std::vector<registry::Fact> sound = update.m_facts;
+  auto none = MakeServer("i-9");
+  none.m_slots = 0;
+  auto nowhere = MakeServer("i-10");
+  nowhere.m_address = {};
+  auto frozen = MakeServer("i-11");
+  frozen.m_coldRemaining = base::Duration::max();
+  const std::vector<registry::Fact> odd = {
+    ServerFact(none, 6),
+    ServerFact(nowhere, 6),
+    ServerFact(frozen, 6),
+    { registry::FactKind::Server, "i-12", 6, registry::ZoneOut{} },
+    { registry::FactKind::Other, "x", 6, registry::Removed{} },
+  };
+  update.m_facts.insert(update.m_facts.begin(), odd.begin(), odd.end());
+  const auto read = ValueOf([&] { return DecodeUpdate(EncodeUpdate(update)); });
+  ASSERT_EQ(read.m_facts.size(), update.m_facts.size());
+  for (std::size_t i = 0; i < odd.size(); ++i) {
+    EXPECT_TRUE(std::holds_alternative<registry::MalformedValue>(
+      read.m_facts[i].m_content))
+      << i;
+  }
+  EXPECT_TRUE(
+    std::equal(sound.begin(),
+               sound.end(),
+               read.m_facts.begin() + static_cast<std::ptrdiff_t>(odd.size())));
+
+  Section("an update from the future is refused", [&] {
+    update.m_age = std::chrono::seconds(-1);
+    EXPECT_EQ(
+      ProblemOf([&] { return DecodeUpdate(EncodeUpdate(update)); }).m_code,
+      ResultCode::PeerMessageMalformed);
+  });
+}
+
 RC_GTEST_PROP(FactsCodec,
               DecodesArbitraryBytesWithoutCrashing,
               (const std::string& aBytes))
