A listing that makes no progress is tried again after a pause

Cause: a page that names its own start as that of the next one was asked for at once, without end. Found by looking where an odd answer can keep a host from following. Change: such a page fails the call. Beside it, control characters in names that others wrote no longer break a line of the log in two. Measured: Reader.BacksOffWhenAListingMakesNoProgress and LineBuffer.KeepsALineOneLineWhateverItQuotes failed before and pass.

--- a/src/wasabiloom/daemon/LineBuffer.cpp
+++ b/src/wasabiloom/daemon/LineBuffer.cpp
@@ -64,7 +64,11 @@
     m_waiting += '\n';
     m_reported = m_dropped;
   }
-  m_waiting += aLine;
+  // A line may quote names that other programs wrote.
+  for (const char byte : aLine) {
+    const bool isControl = static_cast<unsigned char>(byte) < ' ';
+    m_waiting += isControl ? ' ' : byte;
+  }
   m_waiting += '\n';
 }
 
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -60,6 +60,11 @@
 void
 Reader::OnPage(const Page& aPage, base::Instant aNow)
 {
+  if (!aPage.m_nextKey.empty() && aPage.m_nextKey == m_listing.m_after) {
+    OnFailure({ base::ResultCode::RegistryMalformed, "page repeats its key" },
+              aNow);
+    return;
+  }
   m_inCall = false;
   m_due = aNow;
   NoteAnswer(aPage.m_revision, aNow);
--- a/tests/unit/LineBufferTests.cpp
+++ b/tests/unit/LineBufferTests.cpp
@@ -62,6 +62,15 @@
   EXPECT_EQ(pipe.ReadAll(), "one\ntwo\n");
 }
 
+TEST(LineBuffer, KeepsALineOneLineWhateverItQuotes)
+{
+  const Pipe pipe;
+  LineBuffer buffer(pipe.Writer());
+  buffer.Append("zone=a\nevent=ready\tcaf\xc3\xa9");
+  buffer.Flush();
+  EXPECT_EQ(pipe.ReadAll(), "zone=a event=ready caf\xc3\xa9\n");
+}
+
 TEST(LineBuffer, NeverWaitsAndSaysWhatItDropped)
 {
   const Pipe pipe;
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -262,6 +262,20 @@
             ServerState::Draining);
 }
 
+TEST(Reader, BacksOffWhenAListingMakesNoProgress)
+{
+  // Guards against calls without a pause for a page that names its own start as
+  // the start of the next one.
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "k", 10 }, At(0));
+  reader.Next(At(0));
+  reader.OnPage({ {}, "k", 10 }, At(0));
+  EXPECT_EQ(setup.m_events.m_failures, 1U);
+  EXPECT_EQ(reader.Next(At(0)).m_kind, Kind::None);
+}
+
 TEST(Reader, TakesNothingFromAPageThatIsOlderThanWhatIsKnown)
 {
   // Guards against servers and zones out of service that come back: they were
