A watch whose answer can't be used leads to a listing

Cause: the answer of a watch holds every version since; above 4 MiB it was refused and asked for again from the same revision, without end. Only a lost history led to a listing. The same held for an answer that can't be decoded, and for one that takes longer than the timeout on a weak link. Change: a watch that was answered in a way this host can't use is as good as history gone. A long answer is not late while it keeps arriving (silence 0.5 s, rate 1 Mbit/s). Ruled out: a larger limit, which bounds a host's memory and is passed by more versions.

--- a/src/wasabiloom/base/ResultCode.h
+++ b/src/wasabiloom/base/ResultCode.h
@@ -50,6 +50,7 @@
   RateLimited = 506,
   HistoryGone = 507,
   RegistryMalformed = 508,
+  AnswerTooLarge = 509,
   SocketFailed = 601,
   UsageError = 602,
 };
--- a/src/wasabiloom/daemon/HttpClient.cpp
+++ b/src/wasabiloom/daemon/HttpClient.cpp
@@ -4,6 +4,8 @@
 #include <QNetworkProxy>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -77,7 +79,10 @@
   m_request = "GET " + aTarget + " HTTP/1.1\r\nHost: " + ToString(m_server) +
               "\r\nAccept: application/json\r\n\r\n";
   m_exchange = std::make_unique<Exchange>();
-  m_timer.start(std::chrono::ceil<std::chrono::milliseconds>(aTimeout));
+  m_timeout = std::chrono::ceil<std::chrono::milliseconds>(aTimeout);
+  m_received = 0;
+  m_sinceRequest.start();
+  m_timer.start(m_timeout);
   m_isReused = m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
   if (m_isReused) {
     SendRequest();
@@ -120,7 +125,9 @@
     m_socket->abort();
     return;
   }
-  m_exchange->m_pending += m_socket->readAll().toStdString();
+  const std::string received = m_socket->readAll().toStdString();
+  ExtendTime(static_cast<std::int64_t>(received.size()));
+  m_exchange->m_pending += received;
   boost::system::error_code failure;
   while (!m_exchange->m_pending.empty() && !m_exchange->m_parser.is_done()) {
     const std::size_t used = m_exchange->m_parser.put(
@@ -129,6 +136,10 @@
     if (failure == http::error::need_more) {
       return;
     }
+    if (failure == http::error::body_limit) {
+      Finish({ 0, "", "answer too large", true }, false);
+      return;
+    }
     if (failure) {
       Fail("malformed answer: " + failure.message());
       return;
@@ -168,6 +179,19 @@
   Fail(problem);
 }
 
+void
+HttpClient::ExtendTime(std::int64_t aBytes)
+{
+  m_received += aBytes;
+  const std::chrono::milliseconds now{ m_sinceRequest.elapsed() };
+  const std::chrono::milliseconds silence =
+    std::chrono::ceil<std::chrono::milliseconds>(kMaxSilence);
+  const std::chrono::milliseconds atMinRate =
+    m_timeout + std::chrono::milliseconds(m_received / kMinBytesPerMs);
+  const auto end = std::max(m_timeout, std::min(now + silence, atMinRate));
+  m_timer.start(std::max(end - now, std::chrono::milliseconds::zero()));
+}
+
 void
 HttpClient::DropSocket()
 {
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -10,6 +10,16 @@
 /// overflow the shift.
 constexpr std::uint32_t kMaxDoublings = 8;
 
+/// Whether a call that failed with `aCode` was answered, in a way that this
+/// host can't use.
+bool
+IsAnswered(base::ResultCode aCode)
+{
+  return aCode == base::ResultCode::HistoryGone ||
+         aCode == base::ResultCode::AnswerTooLarge ||
+         aCode == base::ResultCode::RegistryMalformed;
+}
+
 } // namespace
 
 Reader::Reader(const ReaderTiming& aTiming,
@@ -130,10 +140,10 @@
 Reader::OnFailure(const CallFailure& aFailure, base::Instant aNow)
 {
   m_inCall = false;
-  if (aFailure.m_code == base::ResultCode::HistoryGone && m_watchedRevision) {
+  if (m_watchedRevision && IsAnswered(aFailure.m_code)) {
+    // A watch from this revision would fail again.
     m_mayBeStale = false;
     m_unwatchableRevision = m_watchedRevision;
-    // The registry does answer, so the listing need not wait long.
     m_failures = 0;
   }
   ++m_failures;
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -70,12 +70,12 @@
 };
 
 /// Lists the registry once and then watches it for changes; lists again when
-/// the registry has dropped the history that the watch needs, unless other
-/// hosts report later changes. Makes one call at a time, delays the next watch
-/// after one that returned changes, and backs off with jitter after failures.
-/// While other hosts read the registry on behalf of this one, it calls the
-/// registry only when their updates stop. Not thread safe: use it from one
-/// thread at a time.
+/// the registry has dropped the history that the watch needs, or this host
+/// can't use the watch's answer, unless other hosts report later changes. Makes
+/// one call at a time, delays the next watch after one that returned changes,
+/// and backs off with jitter after failures. While other hosts read the
+/// registry on behalf of this one, it calls the registry only when their
+/// updates stop. Not thread safe: use it from one thread at a time.
 class Reader
 {
 public:
@@ -183,8 +183,8 @@
   Listing m_listing;
   /// Revision that the watch in progress was called with, if one is.
   std::optional<std::uint64_t> m_watchedRevision;
-  /// Revision after which the registry has no history. A watch is possible
-  /// again once a later revision than this is known.
+  /// Revision after which a watch can't be answered, or only in a way that this
+  /// host can't use. A watch is possible again once a later revision is known.
   std::optional<std::uint64_t> m_unwatchableRevision;
   std::uint32_t m_failures = 0;
   base::Instant m_due;
--- a/src/wasabiloom/registry/RegistryClient.h
+++ b/src/wasabiloom/registry/RegistryClient.h
@@ -31,7 +31,8 @@
 /// Reason why a call failed.
 struct CallFailure
 {
-  /// PlatformUnavailable, RateLimited, HistoryGone or RegistryMalformed.
+  /// PlatformUnavailable, RateLimited, HistoryGone, RegistryMalformed or
+  /// AnswerTooLarge.
   base::ResultCode m_code = base::ResultCode::Ok;
   std::string m_detail;
 };
--- a/tests/unit/HttpTests.cpp
+++ b/tests/unit/HttpTests.cpp
@@ -113,6 +113,58 @@
   EXPECT_EQ(AskOnce("", true).m_status, 0);
 }
 
+TEST(HttpClient, TellsAnAnswerThatIsTooLarge)
+{
+  const std::string announced = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                std::to_string(daemon::kMaxBodyBytes + 1) +
+                                "\r\n\r\nabc";
+  EXPECT_TRUE(AskOnce(announced, false).m_isTooLarge);
+  const std::string sent =
+    "HTTP/1.1 200 OK\r\n\r\n" + std::string(daemon::kMaxBodyBytes + 1, 'x');
+  EXPECT_TRUE(AskOnce(sent, true).m_isTooLarge);
+  EXPECT_FALSE(AskOnce("nonsense\r\n\r\n", false).m_isTooLarge);
+}
+
+TEST(HttpClient, WaitsForALongAnswerWhileItKeepsArriving)
+{
+  // Guards against a host on a weak link that asks for the same long answer for
+  // ever, as it takes longer than the timeout.
+  constexpr int kParts = 8;
+  const std::string part(64 * 1024, 'x');
+  const auto ask = [&](const std::string& aPart, int aPartsSent) {
+    QTcpServer server;
+    RunUntil([] { return true; });
+    QTimer timer;
+    QTcpSocket* socket = nullptr;
+    int sent = 0;
+    QObject::connect(&server, &QTcpServer::newConnection, [&] {
+      socket = server.nextPendingConnection();
+      const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " +
+        std::to_string(static_cast<std::size_t>(kParts) * aPart.size()) +
+        "\r\n\r\n";
+      socket->write(head.data(), static_cast<qint64>(head.size()));
+      timer.start(100);
+    });
+    QObject::connect(&timer, &QTimer::timeout, [&] {
+      if (sent++ < aPartsSent) {
+        socket->write(aPart.data(), static_cast<qint64>(aPart.size()));
+      }
+    });
+    server.listen(QHostAddress(kLocal.m_bits));
+    HttpClient client({ kLocal, server.serverPort() });
+    return Ask(client, milliseconds(250));
+  };
+  EXPECT_EQ(ask(part, kParts).m_body.size(), kParts * part.size());
+
+  Section("but not when it falls silent", [&] {
+    EXPECT_THAT(ask(part, kParts - 1).m_problem, HasSubstr("in time"));
+  });
+  Section("nor when it only trickles", [&] {
+    EXPECT_THAT(ask("x", kParts).m_problem, HasSubstr("in time"));
+  });
+}
+
 TEST(HttpClient, GivesUpOnSilence)
 {
   EXPECT_THAT(AskOnce("", false, milliseconds(50)).m_problem,
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -241,6 +241,26 @@
             Presence::Lapsed);
 }
 
+TEST(Reader, ListsWhenItCannotUseTheAnswerOfAWatch)
+{
+  // Guards against hosts that ask for the same answer for ever: several large
+  // versions in it exceed what a host accepts. A listing has only the latest.
+  for (const ResultCode code :
+       { ResultCode::AnswerTooLarge, ResultCode::RegistryMalformed }) {
+    ReaderUnderTest setup;
+    setup.List(10);
+    Reader& reader = setup.m_reader;
+    reader.Next(At(1));
+    reader.OnFailure({ code, "" }, At(1));
+    const ReaderCall list = reader.Next(At(2));
+    EXPECT_EQ(list.m_kind, Kind::List);
+    EXPECT_FALSE(list.m_mayBeStale);
+    reader.OnPage({ { ConfigurationFact(9, 18) }, "", 20 }, At(2));
+    EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 9U);
+    EXPECT_EQ(reader.Next(At(2)).m_revision, 20U);
+  }
+}
+
 TEST(Reader, WatchesFromTheOldestPageOfAListing)
 {
   // Guards against a draining server that counts as ready after a restart: a
