--- a/tests/unit/TokenHostSettingsTests.cpp
+++ b/tests/unit/TokenHostSettingsTests.cpp
@@ -1,4 +1,5 @@
 #include "support/Problems.h"
+#include "wasabiloom/base/Files.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
 
 #include <gmock/gmock.h>
@@ -20,8 +21,60 @@
          aMore + "}";
 }
 
+/// Returns `aText` with each `aFrom` replaced by `aTo`.
+std::string
+Replace(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  for (auto at = aText.find(aFrom); at != std::string::npos;
+       at = aText.find(aFrom, at + aTo.size())) {
+    aText.replace(at, aFrom.size(), aTo);
+  }
+  return aText;
+}
+
+/// Renders the template of the deploy folder as the users' platform would, with
+/// `aBound` as each number of its bounds and limits.
+std::string
+RenderTemplate(const std::string& aBound)
+{
+  std::string text = ValueOf(
+    [] { return base::ReadFile(SOURCE_DIR "/deploy/settings.template"); });
+  for (const char* field : { "NodeName", "Zone" }) {
+    text = Replace(text, "{{" + std::string(field) + "|json}}", "\"x\"");
+  }
+  text = Replace(text, "{{IpAddress|json}}", "\"10.0.0.1\"");
+  for (const char* field :
+       { ".", "Listen.DatagramAddress", "Listen.Ready", "platform.Address" }) {
+    text =
+      Replace(text, "{{" + std::string(field) + "|json}}", "\"10.0.0.1:5\"");
+  }
+  text = Replace(text, "{{InternalPorts.0}}", "7720");
+  text = Replace(text, "{{.}}", aBound);
+  for (const char* mark : { "{{#", "{{/", "{{," }) {
+    for (auto at = text.find(mark); at != std::string::npos;
+         at = text.find(mark)) {
+      text.erase(at, text.find("}}", at) + 2 - at);
+    }
+  }
+  return text;
+}
+
 } // namespace
 
+TEST(TokenHostSettings, AreReadFromTheRenderedTemplate)
+{
+  // Guards against a host that ends at once on SIGTERM, as a fraction of a
+  // second became a number with zeros behind it.
+  for (const char* bound : { "2.5", "2.0", "6" }) {
+    const auto read =
+      ValueOf([&] { return ReadTokenHostSettings(RenderTemplate(bound)); });
+    const std::chrono::duration<double> seconds(std::stod(bound));
+    EXPECT_EQ(read.m_stopGrace, seconds) << bound;
+    EXPECT_EQ(read.m_zoneOut, seconds / 1000) << bound;
+    EXPECT_EQ(read.m_cores, seconds.count()) << bound;
+  }
+}
+
 TEST(TokenHostSettings, AreReadWithDefaults)
 {
   const auto read =
