A signal to reload that comes early doesn't end the host

Seen on the way by the review: SIGHUP ended a process that had not come to SignalWatch. Cause: the default action was in force until then. On the related path the settings file was read once to be applied and once more to compare it with later ones; a change between the two was never applied (by reading). Change: the signals are held back as the first step of the main function, and the text that was applied is the one that later ones are compared with. Left: before the main function (the libraries are being loaded) the default holds still.

--- a/src/wasabiloom/daemon/SettingsWatch.cpp
+++ b/src/wasabiloom/daemon/SettingsWatch.cpp
@@ -12,12 +12,12 @@
 } // namespace
 
 SettingsWatch::SettingsWatch(std::string aPath,
+                             std::string aText,
                              std::function<void(const std::string&)> aOnChange)
   : m_path(std::move(aPath))
+  , m_text(std::move(aText))
+  , m_onChange(std::move(aOnChange))
 {
-  // The first check only stores the text.
-  Check();
-  m_onChange = std::move(aOnChange);
   m_timer.setInterval(kInterval);
   connect(&m_timer, &QTimer::timeout, this, [this] { Check(); });
   m_timer.start();
@@ -33,9 +33,7 @@
         return {};
       }
       m_text = text;
-      if (m_onChange) {
-        m_onChange(text);
-      }
+      m_onChange(text);
       return {};
     },
     [&](const base::Problem& aProblem) {
--- a/src/wasabiloom/daemon/SettingsWatch.h
+++ b/src/wasabiloom/daemon/SettingsWatch.h
@@ -14,8 +14,9 @@
 class SettingsWatch final : public QObject
 {
 public:
-  /// Stores the current text of the file at `aPath` for comparison.
+  /// `aText` is the text of the file at `aPath` that is in force.
   SettingsWatch(std::string aPath,
+                std::string aText,
                 std::function<void(const std::string&)> aOnChange);
 
   /// Checks the file at once.
--- a/src/wasabiloom/daemon/SignalWatch.cpp
+++ b/src/wasabiloom/daemon/SignalWatch.cpp
@@ -12,20 +12,34 @@
 
 constexpr int kForcedExit = 130;
 
-} // namespace
-
-SignalWatch::SignalWatch(std::function<void()> aOnStop,
-                         std::function<void()> aOnReload)
-  : m_onStop(std::move(aOnStop))
-  , m_onReload(std::move(aOnReload))
+sigset_t
+WatchedSignals(bool aReloads)
 {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
-  if (m_onReload) {
+  if (aReloads) {
     sigaddset(&signals, SIGHUP);
   }
+  return signals;
+}
+
+} // namespace
+
+void
+HoldSignals()
+{
+  const sigset_t signals = WatchedSignals(true);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
+SignalWatch::SignalWatch(std::function<void()> aOnStop,
+                         std::function<void()> aOnReload)
+  : m_onStop(std::move(aOnStop))
+  , m_onReload(std::move(aOnReload))
+{
+  const sigset_t signals = WatchedSignals(m_onReload != nullptr);
   sigprocmask(SIG_BLOCK, &signals, nullptr);
   m_descriptor = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
   m_notifier =
--- a/src/wasabiloom/daemon/SignalWatch.h
+++ b/src/wasabiloom/daemon/SignalWatch.h
@@ -9,6 +9,11 @@
 
 namespace wasabiloom::daemon {
 
+/// Makes the signals that a SignalWatch with a reload handles wait for it.
+/// Until then they would end the process. Call it first in the main function.
+void
+HoldSignals();
+
 /// Calls `aOnStop` at the first SIGTERM or SIGINT, and ends the process at the
 /// second. Calls `aOnReload`, if set, at each SIGHUP. Must be created on the
 /// main thread before other threads start.
--- a/src/wasabiloom/daemon/TokenHostProgram.cpp
+++ b/src/wasabiloom/daemon/TokenHostProgram.cpp
@@ -26,16 +26,16 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
-base::Result<TokenHostSettings>
-LoadSettings(const std::string& aPath)
+/// The settings file as read at the start.
+struct SettingsFile
 {
-  BOOST_LEAF_AUTO(text, base::ReadFile(aPath));
-  return settings::ReadTokenHostSettings(text);
-}
+  std::string m_path;
+  std::string m_text;
+};
 
 base::Result<int>
 RunLoop(const TokenHostProgram& aProgram,
-        const std::string& aPath,
+        const SettingsFile& aFile,
         const TokenHostSettings& aSettings)
 {
   LineBuffer log(STDOUT_FILENO);
@@ -49,20 +49,22 @@
   const auto registry = aProgram.m_makeRegistry(aSettings.m_registry);
   TokenHostTask task(
     aSettings, { aProgram.m_codec, *registry, aProgram.m_readinessPath }, log);
-  SettingsWatch watch(aPath, [&](const std::string& aText) {
-    base::Handle(
-      [&]() -> base::Result<int> {
-        BOOST_LEAF_AUTO(changed, settings::ReadTokenHostSettings(aText));
-        task.Reload(changed);
-        return kExitOk;
-      },
-      [](const base::Problem& aProblem) {
-        LogLine(LogLevel::Warn,
-                "host",
-                "event=settings_refused detail=\"" + Describe(aProblem) + "\"");
-        return kExitFailure;
-      });
-  });
+  SettingsWatch watch(
+    aFile.m_path, aFile.m_text, [&](const std::string& aText) {
+      base::Handle(
+        [&]() -> base::Result<int> {
+          BOOST_LEAF_AUTO(changed, settings::ReadTokenHostSettings(aText));
+          task.Reload(changed);
+          return kExitOk;
+        },
+        [](const base::Problem& aProblem) {
+          LogLine(LogLevel::Warn,
+                  "host",
+                  "event=settings_refused detail=\"" + Describe(aProblem) +
+                    "\"");
+          return kExitFailure;
+        });
+    });
   const SignalWatch signals(
     [&] { task.BeginLeave([] { QCoreApplication::quit(); }); },
     [&] { watch.Check(); });
@@ -77,6 +79,7 @@
 int
 RunTokenHost(const TokenHostProgram& aProgram, int argc, char** argv)
 {
+  HoldSignals();
   std::signal(SIGPIPE, SIG_IGN);
   // Qt's own event loop makes fewer system calls than GLib's.
   qputenv("QT_NO_GLIB", "1");
@@ -102,12 +105,13 @@
   const auto path = chosen["settings"].as<std::string>();
   return base::Handle(
     [&]() -> base::Result<int> {
-      BOOST_LEAF_AUTO(settings, LoadSettings(path));
+      BOOST_LEAF_AUTO(text, base::ReadFile(path));
+      BOOST_LEAF_AUTO(settings, settings::ReadTokenHostSettings(text));
       if (chosen.contains("check-settings")) {
         std::cout << path << ": settings are valid\n";
         return kExitOk;
       }
-      return RunLoop(aProgram, path, settings);
+      return RunLoop(aProgram, { path, text }, settings);
     },
     [&](const base::Problem& aProblem) {
       std::cerr << aProgram.m_name << ": " << Describe(aProblem) << "\n";
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -82,6 +82,20 @@
 host 1
 host 2
 await "two ready hosts" eval "is_ready 1 && is_ready 2"
+
+# A signal to reload does not end a host that is about to read its settings, and
+# a change of the file meanwhile is noticed.
+mkfifo "$work/h3.json"
+start h3 env WASABILOOM_CONFIG="$work/h3.json" "$program"
+exec 5>"$work/h3.json" # waits until the host reads
+kill -HUP "${pids[h3]}"
+settings 3 ', "log_level": "debug"' >"$work/h3.next"
+mv "$work/h3.next" "$work/h3.json"
+settings 3 "" >&5
+exec 5>&-
+await "readiness after an early signal" is_ready 3
+await "the settings changed meanwhile" logged 3 "event=reloaded"
+stop h3
 echo "127.78.0.1:$port 127.78.0.2:$port" >"$work/hosts"
 start caller "$build/standins/standin_token_caller" --listen 127.78.9.1:$port \
   --route 198.18.0.1:443 --service desk --hosts "$work/hosts" --report "$work/report"
