--- a/tests/unit/FactDecoderTests.cpp
+++ b/tests/unit/FactDecoderTests.cpp
@@ -138,8 +138,8 @@
 {
   // Guards against hosts that end again and again, as one odd entry is nested
   // so deeply that a parsed copy exceeds the memory of a small machine.
-  constexpr std::size_t kMebibyte = 1024 * 1024;
-  constexpr long kMoreKilobytes = 16 * 1024;
+  constexpr std::size_t kMebibyte = 1'048'576;
+  constexpr long kMoreKilobytes = 16'384;
   const std::string nested(kMebibyte, '[');
   rusage before{};
   getrusage(RUSAGE_SELF, &before);
--- a/tests/unit/HttpTests.cpp
+++ b/tests/unit/HttpTests.cpp
@@ -130,7 +130,7 @@
   // Guards against a host on a weak link that asks for the same long answer for
   // ever, as it takes longer than the timeout.
   constexpr int kParts = 8;
-  const std::string part(64 * 1024, 'x');
+  const std::string part(65'536, 'x');
   const auto ask = [&](const std::string& aPart, int aPartsSent) {
     QTcpServer server;
     RunUntil([] { return true; });
--- a/tests/unit/RegistryCacheTests.cpp
+++ b/tests/unit/RegistryCacheTests.cpp
@@ -216,7 +216,8 @@
   // Guards against a server that keeps getting flows after it has left, as its
   // record was lost when another server had the token of its former start.
   const auto ids = FindCollidingIds();
-  const auto [smaller, larger] = std::minmax(ids.first, ids.second);
+  const std::string smaller = std::min(ids.first, ids.second);
+  const std::string larger = std::max(ids.first, ids.second);
   RegistryCache beliefs;
   beliefs.Apply(ServerFact(MakeServer(larger, "a", 1), 2), At(0));
   beliefs.Apply(ServerFact(MakeServer(larger, "a", 2), 3), At(0));
