A second removal is passed on though the first one is known

Cause: a host that knew a route or server as removed took a later removal for nothing new and kept the first one's revision. A host that had learned in between that it was back, and asked for what changed since, wasn't sent the removal and kept it for good. Change: the later removal counts as the change. A version that is learned whole no longer touches removals of before, so that they are forgotten in time. Ruled out: the model; the trace names the update without the removal.

--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -225,10 +225,12 @@
                             base::Instant aNow)
 {
   aRecord.m_revision = aRevision;
+  // A server that was removed before may have been listed in between on other
+  // hosts, which then need this removal.
+  aRecord.m_changeRevision = aRevision;
   if (!TakesFlows(aRecord.m_presence)) {
     return FactOutcome::Unchanged;
   }
-  aRecord.m_changeRevision = aRevision;
   const bool saidFarewell = aRecord.m_server.m_state == ServerState::Draining;
   SetPresence(aRecord, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
   return FactOutcome::Adopted;
--- a/src/wasabiloom/registry/RouteTable.cpp
+++ b/src/wasabiloom/registry/RouteTable.cpp
@@ -61,7 +61,7 @@
     }
   }
   for (const auto& [address, entry] : m_entries) {
-    if (!named.contains(address)) {
+    if (!entry.m_removed && !named.contains(address)) {
       hasChanged |= ApplyRemoval(entry.m_route.m_address, aRevision, aNow) ==
                     FactOutcome::Adopted;
     }
@@ -122,18 +122,18 @@
   // route may still arrive.
   const auto [slot, isNew] = m_entries.try_emplace(base::Pack(aAddress));
   Entry& entry = slot->second;
-  if (entry.m_removed) {
-    return FactOutcome::Unchanged;
-  }
   if (aRevision < entry.m_revision) {
     return FactOutcome::Stale;
   }
+  const bool wasThere = !isNew && !entry.m_removed;
+  m_removed += entry.m_removed ? 0 : 1;
   entry.m_route.m_address = aAddress;
+  // A route that was removed before may have been there in between on other
+  // hosts, which then need this removal.
   entry.m_revision = aRevision;
   entry.m_removed = true;
   entry.m_removedAt = aNow;
-  ++m_removed;
-  return isNew ? FactOutcome::Unchanged : FactOutcome::Adopted;
+  return wasThere ? FactOutcome::Adopted : FactOutcome::Unchanged;
 }
 
 void
--- a/tests/unit/RegistryCacheTests.cpp
+++ b/tests/unit/RegistryCacheTests.cpp
@@ -354,6 +354,20 @@
   });
 }
 
+TEST(RegistryCache, SendsASecondRemovalWhoseFirstIsKnown)
+{
+  // Guards against a server that stays there for ever: it came back and left
+  // again while the sender knew only that it had left before.
+  RegistryCache sender;
+  sender.Apply(ServerFact(MakeServer("i-1"), 5), At(0));
+  sender.EndListing(10, { { FactKind::Server, "i-1" } }, At(0));
+  sender.Apply(RemovedFact(FactKind::Server, "i-1", 20), At(0));
+  sender.Tick(At(5));
+  sender.Apply(RemovedFact(FactKind::Server, "i-1", 40), At(6));
+  EXPECT_EQ(*sender.FactsSince(30, At(6)),
+            (std::vector{ RemovedFact(FactKind::Server, "i-1", 40) }));
+}
+
 TEST(RegistryCache, CanBeRebuiltOnAnotherHostFromItsFacts)
 {
   RegistryCache here;
--- a/tests/unit/RegistryOrderTests.cpp
+++ b/tests/unit/RegistryOrderTests.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <numeric>
 #include <optional>
 #include <random>
 #include <variant>
@@ -294,7 +295,11 @@
 {
   // Guards against hosts that claim to know changes they have missed, and so
   // keep dropped routes and servers that have left on other hosts.
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  std::vector<std::uint64_t> seeds(kSeeds);
+  std::iota(seeds.begin(), seeds.end(), 1);
+  // A route that was removed, came back and was removed again.
+  seeds.push_back(8532);
+  for (const std::uint64_t seed : seeds) {
     SCOPED_TRACE(seed);
     DrawnEvents events(seed);
     for (int step = 0; step < kSteps; ++step) {
--- a/tests/unit/RouteTableTests.cpp
+++ b/tests/unit/RouteTableTests.cpp
@@ -153,6 +153,23 @@
   });
 }
 
+TEST(RouteTable, AppendsASecondRemovalWhoseFirstIsKnown)
+{
+  // Guards against a route that stays for ever: it came back and was removed
+  // again while the sender knew only of the first removal.
+  RouteTable sender;
+  sender.Adopt(Version(1, { kFirst, kSecond }), 10, Origin::Listing, At(0));
+  sender.Adopt(Version(2, { kFirst }), 20, Origin::Watch, At(0));
+  sender.Adopt(registry::GlobalConfiguration{ 4, {}, {} }, 40);
+  EXPECT_EQ(sender.Remove(kSecond.m_address, 40, At(1)),
+            FactOutcome::Unchanged);
+  sender.NoteComplete();
+  RouteTable there;
+  there.Adopt(Version(3, { kFirst, kSecond }), 30, Origin::Listing, At(0));
+  Bring(sender, 30, there);
+  EXPECT_EQ(there.Find(kSecond.m_address), nullptr);
+}
+
 TEST(RouteTable, ComparesTheRoutesOfAKnownVersion)
 {
   // Guards against a route that stays for ever on a host that has put the
