Load features: settings, shared load interface, priority of routes

Cause: hosts know a server's load only by their own flows, and no route's priority is read, so callers that compete can't be told apart. Settings load_report_ms, zone_balance, admission and slow_start, all off by default. placing::SharedLoad is the interface between load reports and the decisions; LoadTable is empty until reports are built. A route carries its priority and whether its requests are idempotent, also between hosts.

--- a/bench/AllocationTest.cpp
+++ b/bench/AllocationTest.cpp
@@ -4,6 +4,7 @@
 #include "LoneHost.h"
 #include "support/Registry.h"
 #include "wasabiloom/base/Hash.h"
+#include "wasabiloom/placing/LoadTable.h"
 #include "wasabiloom/token/ServerSelector.h"
 
 #include <cstdio>
@@ -29,7 +30,8 @@
     beliefs.Apply(tests::ServerFact(server, i + 1), tests::At(0));
   }
   token::FlowTracker flows;
-  token::ServerSelector watch("zone-0", beliefs, flows);
+  const placing::LoadTable noReports;
+  token::ServerSelector watch("zone-0", beliefs, flows, noReports);
   watch.ChooseServer("desk", 0, 1, tests::At(1));
   const std::size_t before = gAllocations;
   for (std::uint64_t flow = 0; flow < kChoices; ++flow) {
--- a/bench/FactsBench.cpp
+++ b/bench/FactsBench.cpp
@@ -1,6 +1,7 @@
 #include "LoneHost.h"
 #include "support/Registry.h"
 #include "wasabiloom/base/Hash.h"
+#include "wasabiloom/placing/LoadTable.h"
 #include "wasabiloom/registry/FactsCodec.h"
 #include "wasabiloom/token/ServerSelector.h"
 
@@ -104,7 +105,8 @@
   registry::RegistryCache beliefs;
   Learn(beliefs, aFacts);
   token::FlowTracker flows;
-  token::ServerSelector watch("zone-0", beliefs, flows);
+  const placing::LoadTable noReports;
+  token::ServerSelector watch("zone-0", beliefs, flows, noReports);
   double best = 1e18;
   for (int round = 0; round < kRounds; ++round) {
     const auto start = Clock::now();
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -41,10 +41,13 @@
 token::TokenHostIdentity
 IdentityOf(const settings::TokenHostSettings& aSettings)
 {
-  return { aSettings.m_name,
-           aSettings.m_zone,
-           aSettings.m_packets.m_port,
-           aSettings.m_zoneOut * kBoundUsed / kBoundParts };
+  return {
+    aSettings.m_name,
+    aSettings.m_zone,
+    aSettings.m_packets.m_port,
+    aSettings.m_zoneOut * kBoundUsed / kBoundParts,
+    { aSettings.m_zoneBalance, aSettings.m_admission, aSettings.m_slowStart }
+  };
 }
 
 } // namespace
--- a/src/wasabiloom/registry/Facts.h
+++ b/src/wasabiloom/registry/Facts.h
@@ -25,12 +25,19 @@
   friend auto operator<=>(const ServiceShare&, const ServiceShare&) = default;
 };
 
+/// Priority of a route that states none, or one that can't be read.
+constexpr std::uint32_t kLowestPriority = 255;
+
 /// An address that callers send to, and the services that get its new flows.
 struct Route
 {
   std::string m_name;
   base::Endpoint m_address;
   std::vector<ServiceShare> m_shares;
+  /// Urgency of the requests on the route; 0 is the highest.
+  std::uint32_t m_priority = kLowestPriority;
+  /// Whether callers may repeat the requests after any failure.
+  bool m_isIdempotent = false;
 
   friend auto operator<=>(const Route&, const Route&) = default;
 };
--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -34,6 +34,8 @@
 {
   aOut.set_name(aRoute.m_name);
   aOut.set_address(base::Pack(aRoute.m_address));
+  aOut.set_priority(aRoute.m_priority);
+  aOut.set_idempotent(aRoute.m_isIdempotent);
   for (const ServiceShare& share : aRoute.m_shares) {
     wire::Share& out = *aOut.add_shares();
     out.set_service(share.m_service);
@@ -47,6 +49,8 @@
   Route route;
   route.m_name = aRoute.name();
   route.m_address = base::UnpackEndpoint(aRoute.address());
+  route.m_priority = aRoute.priority();
+  route.m_isIdempotent = aRoute.idempotent();
   for (const wire::Share& share : aRoute.shares()) {
     route.m_shares.push_back({ share.service(), share.weight() });
   }
--- a/src/wasabiloom/settings/TokenHostSettings.cpp
+++ b/src/wasabiloom/settings/TokenHostSettings.cpp
@@ -28,6 +28,7 @@
 constexpr std::int64_t kMaxLogKilobytes = 1'000'000;
 constexpr std::int64_t kDefaultLogKilobytes = 64;
 constexpr std::int64_t kBytesAKilobyte = 1000;
+constexpr double kMaxLoadReportMs = 60'000;
 
 base::Duration
 Milliseconds(double aCount)
@@ -86,6 +87,19 @@
   return {};
 }
 
+Result<void>
+ReadLoadFeatures(ObjectReader& aReader, TokenHostSettings& aSettings)
+{
+  BOOST_LEAF_AUTO(interval,
+                  aReader.NumberOr("load_report_ms", 0, kMaxLoadReportMs, 0));
+  aSettings.m_loadReportInterval = Milliseconds(interval);
+  BOOST_LEAF_ASSIGN(aSettings.m_zoneBalance,
+                    aReader.FlagOr("zone_balance", false));
+  BOOST_LEAF_ASSIGN(aSettings.m_admission, aReader.FlagOr("admission", false));
+  BOOST_LEAF_ASSIGN(aSettings.m_slowStart, aReader.FlagOr("slow_start", false));
+  return {};
+}
+
 Result<void>
 CheckPorts(const Node& aRoot, const TokenHostSettings& aSettings)
 {
@@ -122,6 +136,7 @@
   settings.m_peerPort = static_cast<std::uint16_t>(peerPort);
   settings.m_metricsPort = static_cast<std::uint16_t>(metricsPort);
   BOOST_LEAF_CHECK(ReadNumbers(reader, settings));
+  BOOST_LEAF_CHECK(ReadLoadFeatures(reader, settings));
   BOOST_LEAF_AUTO(level, reader.ChoiceOrFirst("log_level", kLogLevels));
   settings.m_logLevel = kLogLevels.at(level);
   BOOST_LEAF_AUTO(logKilobytes,
--- a/src/wasabiloom/settings/TokenHostSettings.h
+++ b/src/wasabiloom/settings/TokenHostSettings.h
@@ -43,6 +43,16 @@
   /// Bandwidth of the host's link, and the share of a core that it may use.
   double m_linkMbps = 0;
   double m_cores = 0;
+  /// Interval between reports on the load of backend servers that the host
+  /// sends to others; zero for none.
+  base::Duration m_loadReportInterval{ 0 };
+  /// Whether new flows may go to other zones when the host's own zone is full.
+  bool m_zoneBalance = false;
+  /// Whether less urgent new flows are refused when all zones are full.
+  bool m_admission = false;
+  /// Whether backend servers that start, return or recover get a growing share
+  /// of new flows.
+  bool m_slowStart = false;
   std::string m_logLevel;
   /// Bytes of log that the host writes in the long run; 0 for no limit.
   std::int64_t m_logBytesPerSecond = 0;
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -29,10 +29,12 @@
 
 ServerSelector::ServerSelector(std::string aOwnZone,
                                const registry::RegistryCache& aCache,
-                               FlowTracker& aFlows)
+                               FlowTracker& aFlows,
+                               const placing::SharedLoad& aSharedLoad)
   : m_ownZone(std::move(aOwnZone))
   , m_cache(aCache)
   , m_flows(aFlows)
+  , m_sharedLoad(aSharedLoad)
 {
 }
 
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -5,6 +5,7 @@
 #include "wasabiloom/placing/LatencyTracker.h"
 #include "wasabiloom/placing/PassiveHealthCheck.h"
 #include "wasabiloom/placing/Placement.h"
+#include "wasabiloom/placing/SharedLoad.h"
 #include "wasabiloom/registry/RegistryCache.h"
 #include "wasabiloom/token/FlowTracker.h"
 
@@ -42,7 +43,8 @@
   /// The references must outlive this object.
   ServerSelector(std::string aOwnZone,
                  const registry::RegistryCache& aCache,
-                 FlowTracker& aFlows);
+                 FlowTracker& aFlows,
+                 const placing::SharedLoad& aSharedLoad);
 
   /// Records that a caller retransmitted an opening packet that was sent to
   /// `aServer`.
@@ -94,6 +96,7 @@
   std::string m_ownZone;
   const registry::RegistryCache& m_cache;
   FlowTracker& m_flows;
+  const placing::SharedLoad& m_sharedLoad;
   placing::PassiveHealthCheck m_serverHealth;
   /// Health of whole zones. It is ignored for the host's own zone.
   placing::PassiveHealthCheck m_zoneHealth;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -23,7 +23,7 @@
   , m_effects(aEffects)
   , m_log(m_totals, aEffects)
   , m_reader(aTiming, aSeed, m_cache, m_log)
-  , m_servers(m_identity.m_zone, m_cache, m_flows)
+  , m_servers(m_identity.m_zone, m_cache, m_flows, m_sharedLoad)
 {
 }
 
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wasabiloom/fleet/LocalFacts.h"
+#include "wasabiloom/placing/LoadTable.h"
 #include "wasabiloom/registry/Reader.h"
 #include "wasabiloom/token/Decision.h"
 #include "wasabiloom/token/FlowTracker.h"
@@ -18,6 +19,19 @@
 
 namespace wasabiloom::token {
 
+/// Decisions under load that are switched on.
+struct LoadFeatures
+{
+  /// New flows may go to other zones when the host's own zone is full.
+  bool m_zoneBalance = false;
+  /// Less urgent new flows are refused when all zones are full.
+  bool m_admission = false;
+  /// Servers that start, return or recover get a growing share of new flows.
+  bool m_slowStart = false;
+
+  friend auto operator<=>(const LoadFeatures&, const LoadFeatures&) = default;
+};
+
 /// Identity and limits of a host.
 struct TokenHostIdentity
 {
@@ -28,6 +42,7 @@
   /// Time after the removal of a zone from service during which packets of open
   /// flows are still delivered to it.
   base::Duration m_zoneOutGrace = std::chrono::seconds(4);
+  LoadFeatures m_load{};
 
   friend auto operator<=>(const TokenHostIdentity&,
                           const TokenHostIdentity&) = default;
@@ -175,6 +190,7 @@
   registry::RegistryCache m_cache;
   registry::Reader m_reader;
   FlowTracker m_flows;
+  placing::LoadTable m_sharedLoad;
   ServerSelector m_servers;
   std::deque<Held> m_held;
   base::Instant m_sweptAt;
