Routes without a priority take no bytes between hosts

Cause: the priority of each route, 255 when none is stated, made the facts of the first commit three bytes a route longer. Change: the wire carries how far a priority is above the lowest, which is 0 and left out where none is stated.

--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -3,6 +3,7 @@
 #include "generated/fleet.pb.h"
 #include "wasabiloom/base/Frame.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include <zstd.h>
@@ -34,7 +35,8 @@
 {
   aOut.set_name(aRoute.m_name);
   aOut.set_address(base::Pack(aRoute.m_address));
-  aOut.set_priority(aRoute.m_priority);
+  aOut.set_urgency(kLowestPriority -
+                   std::min(aRoute.m_priority, kLowestPriority));
   aOut.set_idempotent(aRoute.m_isIdempotent);
   for (const ServiceShare& share : aRoute.m_shares) {
     wire::Share& out = *aOut.add_shares();
@@ -49,7 +51,8 @@
   Route route;
   route.m_name = aRoute.name();
   route.m_address = base::UnpackEndpoint(aRoute.address());
-  route.m_priority = aRoute.priority();
+  route.m_priority =
+    kLowestPriority - std::min(aRoute.urgency(), kLowestPriority);
   route.m_isIdempotent = aRoute.idempotent();
   for (const wire::Share& share : aRoute.shares()) {
     route.m_shares.push_back({ share.service(), share.weight() });
