Slow start: shares of new servers, cold quotas, shared suspicion, speeds

A server that started, returned or recovered was placed like any other at once, and one that failed repeatedly was tried each time as if for the first time. A cold server was either avoided or without limit. Speeds counted only as a penalty of very slow servers, and only from this host's responses.

With slow_start on, placing::SlowStart gives such servers a share of new flows that follows their responses, here and in other hosts' reports; placing::ColdQuota splits the allowance of a cold server over the hosts of its zone; two hosts whose opening packets went unanswered make a server suspect; and Place uses the expected time of the next request where the quartiles of the servers' speeds differ.

--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -130,6 +130,16 @@
   }
 }
 
+placing::HostPosition
+FleetLink::ZonePosition() const
+{
+  const auto& zones = m_membership.LiveByZone();
+  const auto zone = zones.find(m_settings.m_zone);
+  const std::size_t others = zone == zones.end() ? 0 : zone->second.size();
+  return { static_cast<std::uint32_t>(others + 1),
+           static_cast<std::uint32_t>(m_membership.RankInZone()) };
+}
+
 void
 FleetLink::Leave()
 {
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -7,6 +7,7 @@
 #include "wasabiloom/fleet/ProviderDirectory.h"
 #include "wasabiloom/fleet/ProviderSearch.h"
 #include "wasabiloom/fleet/ZoneReachability.h"
+#include "wasabiloom/placing/ColdQuota.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
 
 #include <QObject>
@@ -65,6 +66,9 @@
     return m_reachability.SilentFor();
   }
 
+  /// Position of this host among the members of its zone that are not gone.
+  placing::HostPosition ZonePosition() const;
+
   const fleet::SwimMembership& GetMembership() const { return m_membership; }
 
 private:
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -165,6 +165,7 @@
   const base::Instant now = Now();
   m_host.OnTick(now);
   m_fleet.Tick(m_host.IsRegistryUnreachable(kCutOffAfter, now), now);
+  m_host.SetZoneHosts(m_fleet.ZonePosition(), now);
   UpdateServing(now);
   MakeCall(now);
   ReportMalformed(now);
--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -103,6 +103,13 @@
   m_families->SetState("servers", aHost.GetCache().ServerCount());
   m_families->SetState("revision", aHost.Revision());
   m_families->SetState("version", aHost.GetCache().CurrentGlobal().m_version);
+  const token::ServerSelector& servers = aHost.GetServers();
+  const placing::RampTotals& ramps = servers.GetSlowStart().Totals();
+  m_families->SetState("ramping", servers.GetSlowStart().RampingCount());
+  m_families->SetState("ramps_began", ramps.m_began);
+  m_families->SetState("ramps_full", ramps.m_full);
+  m_families->SetState("ramps_failed", ramps.m_failed);
+  m_families->SetState("cold_openings", servers.GetColdQuota().SentCount());
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
                                          m_families->m_registry.Collect());
--- a/src/wasabiloom/placing/LatencyTracker.cpp
+++ b/src/wasabiloom/placing/LatencyTracker.cpp
@@ -1,32 +1,55 @@
 #include "wasabiloom/placing/LatencyTracker.h"
 
+#include <algorithm>
+
 namespace wasabiloom::placing {
 
+LatencyAverage
+Merge(const LatencyAverage& aOwn,
+      const std::optional<ServerObservation>& aObserved)
+{
+  if (!aObserved || aObserved->m_responses == 0 ||
+      aObserved->m_latency <= base::Duration::zero()) {
+    return aOwn;
+  }
+  const std::uint32_t samples = aOwn.m_samples + aObserved->m_responses;
+  const double part = static_cast<double>(aOwn.m_samples) / samples;
+  const double nanoseconds =
+    part * static_cast<double>(aOwn.m_latency.count()) +
+    (1 - part) * static_cast<double>(aObserved->m_latency.count());
+  return { base::Duration(static_cast<base::Duration::rep>(nanoseconds)),
+           samples };
+}
+
 void
 LatencyTracker::AddSample(std::uint32_t aToken,
                           base::Duration aSpan,
                           base::Instant aNow)
 {
   const auto sample = static_cast<double>(aSpan.count());
-  Average& average = m_averages[aToken];
+  Record& average = m_averages[aToken];
   const bool isFresh =
     average.m_nanoseconds > 0 && aNow - average.m_at <= kLatencyLife;
   average.m_nanoseconds =
     isFresh
       ? average.m_nanoseconds + kSampleWeight * (sample - average.m_nanoseconds)
       : sample;
+  average.m_samples =
+    isFresh ? std::min(average.m_samples + 1, kMaxSamples) : 1;
   average.m_at = aNow;
 }
 
-base::Duration
-LatencyTracker::AverageFor(std::uint32_t aToken, base::Instant aNow) const
+LatencyAverage
+LatencyTracker::Average(std::uint32_t aToken, base::Instant aNow) const
 {
   const auto found = m_averages.find(aToken);
   if (found == m_averages.end() || aNow - found->second.m_at > kLatencyLife) {
-    return base::Duration::zero();
+    return {};
   }
-  return base::Duration(
-    static_cast<base::Duration::rep>(found->second.m_nanoseconds));
+  const Record& record = found->second;
+  return { base::Duration(
+             static_cast<base::Duration::rep>(record.m_nanoseconds)),
+           record.m_samples };
 }
 
 void
--- a/src/wasabiloom/placing/LatencyTracker.h
+++ b/src/wasabiloom/placing/LatencyTracker.h
@@ -2,8 +2,10 @@
 #pragma once
 
 #include "wasabiloom/base/Time.h"
+#include "wasabiloom/placing/SharedLoad.h"
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 
 namespace wasabiloom::placing {
@@ -14,6 +16,32 @@
 /// Age after which an average without a new sample is discarded.
 constexpr base::Duration kLatencyLife = std::chrono::seconds(4);
 
+/// Number of responses that tell the speed of a server. The work of requests
+/// varies by half or so, and the average of this many by about a tenth; servers
+/// of unequal speed should be equally busy within 15%.
+constexpr std::uint32_t kSpeedSamples = 8;
+
+/// Number of own responses that an average rests on at most, as older ones have
+/// little weight.
+constexpr std::uint32_t kMaxSamples = 12;
+
+/// An average response time, and the number of responses that it rests on.
+struct LatencyAverage
+{
+  base::Duration m_latency{ 0 };
+  std::uint32_t m_samples = 0;
+
+  bool TellsSpeed() const { return m_samples >= kSpeedSamples; }
+
+  friend auto operator<=>(const LatencyAverage&,
+                          const LatencyAverage&) = default;
+};
+
+/// Returns the average of `aOwn` and of other hosts' responses. Thread safe.
+LatencyAverage
+Merge(const LatencyAverage& aOwn,
+      const std::optional<ServerObservation>& aObserved);
+
 /// Exponential moving averages of response times by server token. Not thread
 /// safe.
 class LatencyTracker
@@ -27,19 +55,26 @@
 
   /// Returns the average of the server `aToken`, or zero if it has none that
   /// is younger than kLatencyLife.
-  base::Duration AverageFor(std::uint32_t aToken, base::Instant aNow) const;
+  base::Duration AverageFor(std::uint32_t aToken, base::Instant aNow) const
+  {
+    return Average(aToken, aNow).m_latency;
+  }
+
+  /// Returns the same with the number of samples.
+  LatencyAverage Average(std::uint32_t aToken, base::Instant aNow) const;
 
   /// Removes averages that are older than kLatencyLife.
   void Sweep(base::Instant aNow);
 
 private:
-  struct Average
+  struct Record
   {
     double m_nanoseconds = 0;
+    std::uint32_t m_samples = 0;
     base::Instant m_at;
   };
 
-  std::unordered_map<std::uint32_t, Average> m_averages;
+  std::unordered_map<std::uint32_t, Record> m_averages;
 };
 
 } // namespace wasabiloom::placing
--- a/src/wasabiloom/placing/Placement.cpp
+++ b/src/wasabiloom/placing/Placement.cpp
@@ -5,6 +5,7 @@
 #include <boost/container/small_vector.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace wasabiloom::placing {
@@ -14,15 +15,16 @@
 /// Number of candidates up to which the quartile needs no allocation.
 constexpr std::size_t kUsualCandidates = 72;
 
-/// First quartile of the known response times; zero if none is known. The
+/// First quartile of the known values of `aTime`; zero if none is known. The
 /// median would be that of a slow server when most servers are slow.
 base::Duration
-ReferenceLatency(std::span<const Candidate> aCandidates)
+FirstQuartile(std::span<const Candidate> aCandidates,
+              base::Duration Candidate::*aTime)
 {
   boost::container::small_vector<base::Duration, kUsualCandidates> known;
   for (const Candidate& candidate : aCandidates) {
-    if (candidate.m_latency > base::Duration::zero()) {
-      known.push_back(candidate.m_latency);
+    if (candidate.*aTime > base::Duration::zero()) {
+      known.push_back(candidate.*aTime);
     }
   }
   if (known.empty()) {
@@ -34,6 +36,36 @@
   return *quartile;
 }
 
+bool
+IsUsable(const Candidate& aCandidate, std::uint32_t aAvoid)
+{
+  return aCandidate.m_token != aAvoid && !aCandidate.m_suspect &&
+         !aCandidate.m_cold;
+}
+
+/// Whether the candidate gets a limited share of the flows.
+bool
+IsLimited(const Candidate& aCandidate, std::uint32_t aAvoid)
+{
+  const bool isCold = aCandidate.m_cold && aCandidate.m_coldAllowed &&
+                      !aCandidate.m_suspect && aCandidate.m_token != aAvoid;
+  return isCold || (IsUsable(aCandidate, aAvoid) && aCandidate.m_share < 1);
+}
+
+/// Maps `aHash` to a number from 0 to below 1.
+double
+Fraction(std::uint64_t aHash)
+{
+  constexpr int kDoubleBits = 53;
+  constexpr int kHashBits = 64;
+  return std::ldexp(static_cast<double>(aHash >> (kHashBits - kDoubleBits)),
+                    -kDoubleBits);
+}
+
+/// Salts of the hash, so that draws are independent of each other.
+constexpr std::uint64_t kShareSalt = 0x5a5e;
+constexpr std::uint64_t kSpeedSalt = 0x59ed;
+
 double
 LoadOf(const Candidate& aCandidate, base::Duration aReference)
 {
@@ -59,6 +91,127 @@
   return aChosen.m_cold ? PlaceReason::OnlyCold : PlaceReason::LeastLoad;
 }
 
+/// Whether the speeds of most usable candidates are known and their quartiles
+/// differ. The extremes of many candidates differ by chance.
+bool
+HaveDifferentSpeeds(std::span<const Candidate> aCandidates,
+                    std::uint32_t aAvoid)
+{
+  std::size_t usable = 0;
+  boost::container::small_vector<base::Duration, kUsualCandidates> known;
+  for (const Candidate& candidate : aCandidates) {
+    if (!IsUsable(candidate, aAvoid)) {
+      continue;
+    }
+    ++usable;
+    if (candidate.m_serviceTime > base::Duration::zero()) {
+      known.push_back(candidate.m_serviceTime);
+    }
+  }
+  if (known.size() < 2 || known.size() * 2 <= usable) {
+    return false;
+  }
+  const auto quartile = [&](std::size_t aNumber) {
+    const auto at =
+      known.begin() + static_cast<std::ptrdiff_t>(known.size() * aNumber / 4);
+    std::nth_element(known.begin(), at, known.end());
+    return static_cast<double>(at->count());
+  };
+  return quartile(3) > kSpeedDifference * quartile(1);
+}
+
+/// Service time relative to `aReference`; 1 if either is not known.
+double
+RelativeTime(const Candidate& aCandidate, base::Duration aReference)
+{
+  const bool isKnown = aCandidate.m_serviceTime > base::Duration::zero() &&
+                       aReference > base::Duration::zero();
+  return isKnown ? static_cast<double>(aCandidate.m_serviceTime.count()) /
+                     static_cast<double>(aReference.count())
+                 : 1;
+}
+
+/// Expected time of a further request that adds `aNext` to those in progress.
+double
+ExpectedTime(const Candidate& aCandidate,
+             base::Duration aReference,
+             double aNext)
+{
+  const double slots = std::max<std::uint32_t>(aCandidate.m_slots, 1);
+  const double requests =
+    aCandidate.m_activeRequests + kOpenFlowLoad * aCandidate.m_openFlows;
+  return (requests + aNext) / slots * RelativeTime(aCandidate, aReference);
+}
+
+/// The usable candidate with the full share that has the least expected time.
+/// The flow's random number selects within each zone class; the zones are
+/// compared without it, so that it moves no flow to another zone.
+const Candidate*
+Fastest(std::span<const Candidate> aCandidates,
+        std::uint32_t aAvoid,
+        std::uint64_t aHash)
+{
+  const base::Duration reference =
+    FirstQuartile(aCandidates, &Candidate::m_serviceTime);
+  const Candidate* near = nullptr;
+  const Candidate* far = nullptr;
+  double nearTime = 0;
+  double farTime = 0;
+  for (const Candidate& candidate : aCandidates) {
+    if (!IsUsable(candidate, aAvoid) || candidate.m_share < 1) {
+      continue;
+    }
+    const double draw =
+      Fraction(base::Combine(aHash ^ kSpeedSalt, candidate.m_token));
+    const double time = ExpectedTime(candidate, reference, -std::log1p(-draw));
+    const Candidate*& best = candidate.m_sameZone ? near : far;
+    double& bestTime = candidate.m_sameZone ? nearTime : farTime;
+    if (best == nullptr || time < bestTime) {
+      best = &candidate;
+      bestTime = time;
+    }
+  }
+  if (near == nullptr || far == nullptr) {
+    return near == nullptr ? far : near;
+  }
+  return ExpectedTime(*near, reference, 0) <=
+             ExpectedTime(*far, reference, 0) + kZoneDistance
+           ? near
+           : far;
+}
+
+/// The candidate with a limited share that the flow's hash draws; null if it
+/// draws one of the others.
+const Candidate*
+DrawLimited(std::span<const Candidate> aCandidates,
+            std::uint32_t aAvoid,
+            std::uint64_t aHash)
+{
+  const bool hasNear = std::ranges::any_of(aCandidates, [&](const auto& aOne) {
+    return aOne.m_sameZone &&
+           (IsUsable(aOne, aAvoid) || IsLimited(aOne, aAvoid));
+  });
+  double total = 0;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.m_sameZone == hasNear) {
+      const bool isLimited = IsLimited(candidate, aAvoid);
+      const bool isFull = !isLimited && IsUsable(candidate, aAvoid);
+      total += isLimited ? candidate.m_share : (isFull ? 1 : 0);
+    }
+  }
+  double point = total * Fraction(base::Combine(aHash, kShareSalt));
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.m_sameZone != hasNear || !IsLimited(candidate, aAvoid)) {
+      continue;
+    }
+    if (point < candidate.m_share) {
+      return &candidate;
+    }
+    point -= candidate.m_share;
+  }
+  return nullptr;
+}
+
 } // namespace
 
 std::optional<Placement>
@@ -66,18 +219,33 @@
       std::uint32_t aAvoid,
       std::uint64_t aHash)
 {
-  const base::Duration reference = ReferenceLatency(aCandidates);
+  const base::Duration reference =
+    FirstQuartile(aCandidates, &Candidate::m_latency);
   const auto rank = [&](const Candidate& aCandidate) {
     return std::tuple(aCandidate.m_token == aAvoid,
                       aCandidate.m_suspect,
                       aCandidate.m_cold,
+                      aCandidate.m_share < 1,
                       LoadOf(aCandidate, reference),
                       base::Combine(aHash, aCandidate.m_token));
   };
-  const auto best = std::ranges::min_element(aCandidates, {}, rank);
-  if (best == aCandidates.end()) {
+  const auto least = std::ranges::min_element(aCandidates, {}, rank);
+  if (least == aCandidates.end()) {
     return std::nullopt;
   }
+  const Candidate* best = &*least;
+  if (HaveDifferentSpeeds(aCandidates, aAvoid)) {
+    const Candidate* fastest = Fastest(aCandidates, aAvoid, aHash);
+    best = fastest == nullptr ? best : fastest;
+  }
+  const Candidate* drawn = DrawLimited(aCandidates, aAvoid, aHash);
+  if (drawn != nullptr) {
+    const bool isOther = IsUsable(*best, aAvoid) && best->m_share >= 1;
+    if (!isOther || LoadOf(*drawn, reference) <= LoadOf(*best, reference)) {
+      return Placement{ drawn->m_token,
+                        isOther ? PlaceReason::LeastLoad : ReasonOf(*drawn) };
+    }
+  }
   return Placement{ best->m_token, ReasonOf(*best) };
 }
 
--- a/src/wasabiloom/placing/Placement.h
+++ b/src/wasabiloom/placing/Placement.h
@@ -28,6 +28,13 @@
   /// Whether callers' packets or the removal of its registry entry indicate
   /// that the server has failed.
   bool m_suspect = false;
+  /// Share of a normal server's new flows that the server gets; see SlowStart.
+  double m_share = 1;
+  /// Whether the server can get flows although it is cold and others are warm.
+  bool m_coldAllowed = false;
+  /// Average time in which the server answers a request, without the way of the
+  /// packets; zero if too few responses are known to tell the server's speed.
+  base::Duration m_serviceTime{ 0 };
 
   friend auto operator<=>(const Candidate&, const Candidate&) = default;
 };
@@ -35,7 +42,7 @@
 /// Reason for a placement.
 enum class PlaceReason : std::uint8_t
 {
-  /// The candidate with the least load.
+  /// The candidate with the least load, or one that was drawn by its share.
   LeastLoad,
   /// All remaining candidates are cold.
   OnlyCold,
@@ -67,11 +74,29 @@
 /// own zone is preferred unless its load is higher by more than this.
 constexpr double kZoneDistance = 1.2;
 
+/// Servers whose response times differ by less than this factor count as
+/// equally fast: the average of kSpeedSamples responses varies by about a
+/// tenth, so that two equal servers rarely differ by more.
+constexpr double kSpeedDifference = 1.35;
+
 /// Selects one of `aCandidates`. Servers that are not suspect come before
 /// suspect ones, then warm before cold, then the least load, where servers in
 /// other zones count as kZoneDistance more loaded. `aHash` breaks ties, so that
 /// hosts with the same data spread their flows differently. The server with the
 /// token `aAvoid` is selected only if it is the sole candidate; 0 avoids none.
+///
+/// A usable candidate with a share below 1, or a cold one that is allowed, is
+/// drawn by the hash in proportion to its share of the sum of the shares in its
+/// zone. It gets the flow unless another candidate with the full share has less
+/// load.
+///
+/// Where the speeds of most usable candidates are known and their quartiles
+/// differ, the load is
+/// the expected time of the next request: (requests in progress + 1) times the
+/// service time relative to the first quartile. The 1 is replaced by a random
+/// number of the flow with the mean 1, so that servers that are idle here get
+/// flows in proportion to their speeds.
+///
 /// Returns nothing if there is no candidate. Thread safe.
 std::optional<Placement>
 Place(std::span<const Candidate> aCandidates,
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -2,6 +2,8 @@
 
 #include "wasabiloom/base/Hash.h"
 
+#include <algorithm>
+
 namespace wasabiloom::token {
 
 namespace {
@@ -11,6 +13,10 @@
 using registry::ServerRecord;
 using registry::ServerState;
 
+/// The service time is at least a response time divided by this, whatever the
+/// handshakes took: a server that is slow to open flows is not fast.
+constexpr int kMaxWayParts = 4;
+
 /// Key of a zone in PassiveHealthCheck, which tracks servers by token.
 std::uint32_t
 ZoneKey(const std::string& aZone)
@@ -43,6 +49,7 @@
                                        base::Instant aNow)
 {
   m_serverHealth.OnOpeningRetransmitted(aServer.m_token, aNow);
+  NoteSuspicion(aServer, aNow);
   RecordZoneFailure(aServer, aNow);
 }
 
@@ -66,16 +73,29 @@
   }
   if (heard) {
     m_serverHealth.OnResponse(aPacket.m_token, aNow);
+    m_slowStart.OnHeard(aPacket.m_token);
     m_zoneHealth.OnResponse(ZoneKey(aServer.m_server.m_zone), aNow);
     if (aServer.m_server.m_zone != m_ownZone) {
       m_otherZoneRespondedAt = aNow;
     }
   } else if (repeats) {
     m_serverHealth.OnDataRetransmitted(aPacket.m_token, aNow);
+    NoteSuspicion(aServer, aNow);
     RecordZoneFailure(aServer, aNow);
   }
+  if (heard && aRecord.m_awaits == Awaits::Handshake && m_usesSlowStart) {
+    m_handshakes.AddSample(
+      ZoneKey(aServer.m_server.m_zone), aNow - aRecord.m_awaitsSince, aNow);
+  }
   if (heard && aRecord.m_awaits == Awaits::Response) {
-    m_latencies.AddSample(aPacket.m_token, aNow - aRecord.m_awaitsSince, aNow);
+    const base::Duration span = aNow - aRecord.m_awaitsSince;
+    m_latencies.AddSample(aPacket.m_token, span, aNow);
+    if (m_usesSlowStart) {
+      m_slowStart.OnResponse(aPacket.m_token,
+                             base::HashText(aServer.m_server.m_service),
+                             span,
+                             aNow);
+    }
   }
   if (heard || isFirst) {
     m_flows.SetAwaits(aRecord, Awaits::Nothing, aNow);
@@ -104,7 +124,113 @@
   const bool inDoubtfulZone =
     zone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(zone), aNow);
   return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
-         m_serverHealth.IsSuspect(aServer.m_token, aNow);
+         m_serverHealth.IsSuspect(aServer.m_token, aNow) ||
+         IsReportedFailing(
+           aServer.m_token, ObservationOf(aServer.m_token, aNow), aNow);
+}
+
+std::optional<placing::ServerObservation>
+ServerSelector::ObservationOf(std::uint32_t aToken, base::Instant aNow) const
+{
+  return m_usesSlowStart ? m_sharedLoad.ObservationOf(aToken, aNow)
+                         : std::nullopt;
+}
+
+bool
+ServerSelector::IsReportedFailing(
+  std::uint32_t aToken,
+  const std::optional<placing::ServerObservation>& aObserved,
+  base::Instant aNow) const
+{
+  return aObserved && aObserved->m_failingHosts >= kFailingHostsForSuspicion &&
+         aNow - m_serverHealth.LastResponseAt(aToken) > kReportLife;
+}
+
+void
+ServerSelector::NoteSuspicion(const ServerRecord& aServer, base::Instant aNow)
+{
+  if (m_usesSlowStart && m_serverHealth.IsSuspect(aServer.m_token, aNow)) {
+    m_slowStart.OnSuspected(SightingOf(aServer), aNow);
+  }
+}
+
+placing::ServerSighting
+ServerSelector::SightingOf(const ServerRecord& aServer) const
+{
+  return { aServer.m_token,
+           aServer.m_server.m_address,
+           aServer.m_presenceSince,
+           aServer.m_coldUntil,
+           m_serverHealth.LastResponseAt(aServer.m_token) };
+}
+
+double
+ServerSelector::ColdFlowsPerSecond(std::string_view aService) const
+{
+  const auto& services = m_cache.CurrentGlobal().m_services;
+  const auto found =
+    std::ranges::find(services, aService, &registry::ServiceRules::m_name);
+  return found == services.end() ? 0 : found->m_coldFlowsPerSecond;
+}
+
+bool
+ServerSelector::AllowsOpening(const ServerRecord& aServer,
+                              base::Instant aNow) const
+{
+  if (!m_usesSlowStart || aNow >= aServer.m_coldUntil) {
+    return true;
+  }
+  const double limit = ColdFlowsPerSecond(aServer.m_server.m_service);
+  return limit <= 0 || (aServer.m_server.m_zone == m_ownZone &&
+                        m_coldQuota.MaySend(aServer.m_token, limit, aNow));
+}
+
+void
+ServerSelector::OnPlaced(const ServerRecord& aServer, base::Instant aNow)
+{
+  if (m_usesSlowStart) {
+    m_slowStart.OnPlaced(aServer.m_token, aNow);
+  }
+  OnOpeningSent(aServer, aNow);
+}
+
+void
+ServerSelector::OnOpeningSent(const ServerRecord& aServer, base::Instant aNow)
+{
+  if (m_usesSlowStart && aNow < aServer.m_coldUntil) {
+    m_coldQuota.OnSent(aServer.m_token, aNow);
+  }
+}
+
+base::Duration
+ServerSelector::ServiceTimeIn(const placing::LatencyAverage& aAverage,
+                              const ServerRecord& aServer,
+                              base::Instant aNow) const
+{
+  if (!aAverage.TellsSpeed()) {
+    return base::Duration::zero();
+  }
+  const base::Duration way =
+    m_handshakes.AverageFor(ZoneKey(aServer.m_server.m_zone), aNow);
+  return std::max(aAverage.m_latency - way, aAverage.m_latency / kMaxWayParts);
+}
+
+void
+ServerSelector::AddSlowStart(const ServerRecord& aServer,
+                             placing::Candidate& aCandidate,
+                             base::Instant aNow)
+{
+  const auto observed = ObservationOf(aServer.m_token, aNow);
+  const placing::LatencyAverage average =
+    placing::Merge(m_latencies.Average(aServer.m_token, aNow), observed);
+  aCandidate.m_latency = average.m_latency;
+  aCandidate.m_serviceTime = ServiceTimeIn(average, aServer, aNow);
+  if (IsReportedFailing(aServer.m_token, observed, aNow)) {
+    m_slowStart.OnSuspected(SightingOf(aServer), aNow);
+  }
+  aCandidate.m_share = m_slowStart.ShareOf(SightingOf(aServer), observed, aNow);
+  aCandidate.m_coldAllowed =
+    aCandidate.m_cold && ColdFlowsPerSecond(aServer.m_server.m_service) > 0;
 }
 
 std::optional<placing::Placement>
@@ -140,7 +266,7 @@
                               base::Instant aNow)
 {
   for (const ServerRecord* server : aServers) {
-    if (!CanAcceptFlow(*server)) {
+    if (!CanAcceptFlow(*server) || !AllowsOpening(*server, aNow)) {
       continue;
     }
     placing::Candidate candidate;
@@ -153,6 +279,9 @@
     candidate.m_sameZone = server->m_server.m_zone == m_ownZone;
     candidate.m_cold = aNow < server->m_coldUntil;
     candidate.m_suspect = IsSuspect(*server, aNow);
+    if (m_usesSlowStart) {
+      AddSlowStart(*server, candidate, aNow);
+    }
     m_candidates.push_back(candidate);
   }
 }
@@ -194,8 +323,11 @@
 ServerSelector::Sweep(base::Instant aNow)
 {
   m_latencies.Sweep(aNow);
+  m_handshakes.Sweep(aNow);
   m_serverHealth.Sweep(aNow);
   m_zoneHealth.Sweep(aNow);
+  m_slowStart.Sweep(aNow);
+  m_coldQuota.Sweep(aNow);
 }
 
 } // namespace wasabiloom::token
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -2,10 +2,12 @@
 /// that callers' packets show.
 #pragma once
 
+#include "wasabiloom/placing/ColdQuota.h"
 #include "wasabiloom/placing/LatencyTracker.h"
 #include "wasabiloom/placing/PassiveHealthCheck.h"
 #include "wasabiloom/placing/Placement.h"
 #include "wasabiloom/placing/SharedLoad.h"
+#include "wasabiloom/placing/SlowStart.h"
 #include "wasabiloom/registry/RegistryCache.h"
 #include "wasabiloom/token/FlowTracker.h"
 
@@ -35,6 +37,15 @@
 /// selected.
 constexpr std::uint64_t kMaxSampleRounds = 3;
 
+/// Number of hosts whose opening packets went unanswered that make a server
+/// suspect on hosts that have not heard it meanwhile. A single host may have a
+/// fault of its own.
+constexpr std::uint32_t kFailingHostsForSuspicion = 2;
+
+/// Time for which a response of a server outweighs what other hosts report; the
+/// longest age of a report.
+constexpr base::Duration kReportLife = std::chrono::seconds(2);
+
 /// Tracks health, response times and load of all servers, and selects servers
 /// for new flows. Not thread safe.
 class ServerSelector
@@ -46,6 +57,35 @@
                  FlowTracker& aFlows,
                  const placing::SharedLoad& aSharedLoad);
 
+  /// Switches on slow start, cold quotas, shared suspicion and speeds. Call it
+  /// before the first packet.
+  void EnableSlowStart() { m_usesSlowStart = true; }
+
+  /// Records that the host knows the registry from now on; see
+  /// placing::SlowStart::SetKnownSince.
+  void OnRegistryKnown(base::Instant aNow) { m_slowStart.SetKnownSince(aNow); }
+
+  /// See placing::ColdQuota::SetHosts.
+  void SetZoneHosts(const placing::HostPosition& aPosition, base::Instant aNow)
+  {
+    m_coldQuota.SetHosts(aPosition, aNow);
+  }
+
+  /// Whether the cold quota of `aServer`, if it has one, allows an opening
+  /// packet now.
+  bool AllowsOpening(const registry::ServerRecord& aServer,
+                     base::Instant aNow) const;
+
+  /// Records that a new flow was placed on `aServer`.
+  void OnPlaced(const registry::ServerRecord& aServer, base::Instant aNow);
+
+  /// Records that an opening packet is sent to `aServer`.
+  void OnOpeningSent(const registry::ServerRecord& aServer, base::Instant aNow);
+
+  placing::SlowStart& GetSlowStart() { return m_slowStart; }
+  const placing::SlowStart& GetSlowStart() const { return m_slowStart; }
+  const placing::ColdQuota& GetColdQuota() const { return m_coldQuota; }
+
   /// Records that a caller retransmitted an opening packet that was sent to
   /// `aServer`.
   void OnOpeningRetransmitted(const registry::ServerRecord& aServer,
@@ -92,6 +132,29 @@
                          base::Instant aNow);
   bool IsSuspect(const registry::ServerRecord& aServer,
                  base::Instant aNow) const;
+  /// Whether other hosts' reports make `aServer` suspect.
+  bool IsReportedFailing(
+    std::uint32_t aToken,
+    const std::optional<placing::ServerObservation>& aObserved,
+    base::Instant aNow) const;
+  std::optional<placing::ServerObservation> ObservationOf(
+    std::uint32_t aToken,
+    base::Instant aNow) const;
+  /// Tells slow start if `aServer` is suspect by its own health.
+  void NoteSuspicion(const registry::ServerRecord& aServer, base::Instant aNow);
+  placing::ServerSighting SightingOf(
+    const registry::ServerRecord& aServer) const;
+  /// Returns the time in `aAverage` in which `aServer` worked; zero if it rests
+  /// on too few responses.
+  base::Duration ServiceTimeIn(const placing::LatencyAverage& aAverage,
+                               const registry::ServerRecord& aServer,
+                               base::Instant aNow) const;
+  /// Sets what slow start adds to a candidate.
+  void AddSlowStart(const registry::ServerRecord& aServer,
+                    placing::Candidate& aCandidate,
+                    base::Instant aNow);
+  /// Limit of the configuration for a cold server of `aService`; 0 for none.
+  double ColdFlowsPerSecond(std::string_view aService) const;
 
   std::string m_ownZone;
   const registry::RegistryCache& m_cache;
@@ -102,6 +165,12 @@
   placing::PassiveHealthCheck m_zoneHealth;
   base::Instant m_otherZoneRespondedAt;
   placing::LatencyTracker m_latencies;
+  /// Times of handshakes by the key of the server's zone. They are the way of
+  /// the packets, which is also part of response times.
+  placing::LatencyTracker m_handshakes;
+  bool m_usesSlowStart = false;
+  placing::SlowStart m_slowStart;
+  placing::ColdQuota m_coldQuota;
   /// Buffers that are reused to avoid allocations for each new flow.
   registry::ServiceIndex::Servers m_drawn;
   std::vector<placing::Candidate> m_candidates;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -25,6 +25,9 @@
   , m_reader(aTiming, aSeed, m_cache, m_log)
   , m_servers(m_identity.m_zone, m_cache, m_flows, m_sharedLoad)
 {
+  if (m_identity.m_load.m_slowStart) {
+    m_servers.EnableSlowStart();
+  }
 }
 
 TokenHost::~TokenHost() = default;
@@ -88,6 +91,10 @@
 void
 TokenHost::ReleaseHeld(base::Instant aNow)
 {
+  if (IsReady() && !m_wasReady) {
+    m_wasReady = true;
+    m_servers.OnRegistryKnown(aNow);
+  }
   if (!IsReady() || NeedsFreshState(aNow)) {
     return;
   }
@@ -125,6 +132,11 @@
       decision.m_reason = Reason::SameAsBefore;
       decision.m_token = record->m_token;
       decision.m_server = before->m_server.m_id;
+      if (!m_servers.AllowsOpening(*before, aNow)) {
+        Drop(aPacket, decision, aNow);
+        return;
+      }
+      m_servers.OnOpeningSent(*before, aNow);
       decision.m_action = Action::Deliver;
       Record(decision, true);
       Deliver(aBytes, *before);
@@ -144,6 +156,7 @@
     return;
   }
   const ServerRecord& server = *m_cache.FindByToken(placement->m_token);
+  m_servers.OnPlaced(server, aNow);
   if (record != nullptr) {
     record->m_lastSeenAt = aNow;
     record->m_sawOpening = true;
@@ -377,6 +390,7 @@
   NotePause(aNow);
   m_cache.Tick(aNow);
   ReleaseHeld(aNow);
+  LogRamps();
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
     m_flows.Sweep(kFlowIdleTimeout, aNow);
@@ -384,6 +398,23 @@
   }
 }
 
+void
+TokenHost::LogRamps()
+{
+  for (const placing::RampEvent& event :
+       m_servers.GetSlowStart().TakeEvents()) {
+    const ServerRecord* server = m_cache.FindByToken(event.m_token);
+    m_effects.LogStateChange(
+      ToString(event.m_stage),
+      "server=" + (server == nullptr ? "" : server->m_server.m_id) +
+        " token=" + std::to_string(event.m_token) +
+        " cause=" + std::string(ToString(event.m_cause)) +
+        " failures=" + std::to_string(event.m_failures) +
+        " share=" + std::to_string(event.m_share) +
+        " after_ms=" + std::to_string(base::Milliseconds(event.m_after)));
+  }
+}
+
 bool
 TokenHost::DependsOnOtherZones(base::Instant aNow) const
 {
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -147,6 +147,14 @@
   /// Sets TokenHostIdentity::m_zoneOutGrace while the host runs.
   void SetZoneOutGrace(base::Duration aGrace);
 
+  /// Sets the live hosts of this host's zone, which share the quotas of its
+  /// cold servers. Call it several times a second.
+  void SetZoneHosts(const placing::HostPosition& aPosition, base::Instant aNow)
+  {
+    m_servers.SetZoneHosts(aPosition, aNow);
+  }
+
+  const ServerSelector& GetServers() const { return m_servers; }
   const Totals& GetTotals() const { return m_totals; }
   const registry::RegistryCache& GetCache() const { return m_cache; }
   std::size_t FlowCount() const { return m_flows.Size(); }
@@ -181,6 +189,7 @@
                     Reason aReason,
                     base::Instant aNow) const;
   void Record(const Decision& aDecision, bool aLog);
+  void LogRamps();
 
   TokenHostIdentity m_identity;
   const packet::TokenCodec& m_codec;
@@ -196,6 +205,7 @@
   base::Instant m_sweptAt;
   base::Instant m_ranAt;
   base::Instant m_wokeAt;
+  bool m_wasReady = false;
   ServingDecision m_serving;
 };
 
--- a/tests/support/ServiceLoad.cpp
+++ b/tests/support/ServiceLoad.cpp
@@ -83,7 +83,8 @@
       token::TokenHostIdentity{ "h",
                                 aZones.begin()->first,
                                 kReturnPort,
-                                std::chrono::seconds(4) },
+                                std::chrono::seconds(4),
+                                aShape.m_features },
       registry::ReaderTiming{},
       aSeed,
       m_codec,
@@ -97,7 +98,7 @@
       server.m_address.m_address.m_bits =
         0x0a800000U + static_cast<std::uint32_t>(m_servers.size());
       server.m_slots = kSlots;
-      m_servers.emplace_back();
+      m_servers.emplace_back().m_entry = server;
       page.m_facts.push_back(ServerFact(server, 5));
     }
   }
@@ -133,13 +134,32 @@
 }
 
 void
-ServiceLoad::SetServer(int aServer, ServerMode aMode, int aSlowdown)
+ServiceLoad::SetServer(int aServer, ServerMode aMode, double aSlowdown)
 {
   Server& server = m_servers.at(static_cast<std::size_t>(aServer));
   server.m_mode = aMode;
   server.m_slowdown = aSlowdown;
 }
 
+void
+ServiceLoad::RestartServer(int aServer)
+{
+  registry::Server& entry =
+    m_servers.at(static_cast<std::size_t>(aServer)).m_entry;
+  ++entry.m_startId;
+  ++m_revision;
+  m_host->NextCall(m_now);
+  m_host->OnWatchAnswer(
+    registry::Changes{ { ServerFact(entry, m_revision) }, m_revision }, m_now);
+}
+
+ServerCounts
+ServiceLoad::TakeServerCounts(int aServer)
+{
+  return std::exchange(m_servers.at(static_cast<std::size_t>(aServer)).m_counts,
+                       {});
+}
+
 LoadCounts
 ServiceLoad::TakeCounts()
 {
@@ -203,6 +223,10 @@
   const auto port = Field<std::uint16_t>(aPacket, 32);
   const auto token = Field<std::uint32_t>(aPacket, 0);
   const auto flags = Field<std::uint8_t>(aPacket, 12);
+  if ((flags & kSyn) != 0) {
+    ++server.m_counts.m_openings;
+    server.m_counts.m_unanswered += server.m_mode == ServerMode::Normal ? 0 : 1;
+  }
   if (server.m_mode == ServerMode::Dark || (flags & kFin) != 0) {
     return;
   }
@@ -214,6 +238,9 @@
              server.m_flows.insert(port).second) {
     server.m_waiting.push(port);
     StartWork(aServer);
+    const int inside =
+      server.m_running + static_cast<int>(server.m_waiting.size());
+    server.m_counts.m_peak = std::max(server.m_counts.m_peak, inside);
   }
 }
 
@@ -230,6 +257,7 @@
   std::uniform_real_distribution<double> spread(0.5, 1.5);
   const auto work = std::chrono::duration_cast<base::Duration>(
     m_shape.m_work * server.m_slowdown * spread(m_random));
+  server.m_counts.m_busy += work;
   Later(work, [=, this] {
     Server& done = m_servers.at(static_cast<std::size_t>(aServer));
     --done.m_running;
--- a/tests/support/ServiceLoad.h
+++ b/tests/support/ServiceLoad.h
@@ -37,6 +37,21 @@
   base::Duration m_timeout = std::chrono::milliseconds(1200);
   /// Attempts after the first one; each follows a failed one at once.
   int m_retries = 2;
+  token::LoadFeatures m_features{};
+};
+
+/// What a server did since the last call of TakeServerCounts.
+struct ServerCounts
+{
+  /// Opening packets that it received, and those that it did not answer.
+  int m_openings = 0;
+  int m_unanswered = 0;
+  /// Time of its slots in use, and the largest number of requests in progress
+  /// or waiting.
+  base::Duration m_busy{ 0 };
+  int m_peak = 0;
+
+  friend auto operator<=>(const ServerCounts&, const ServerCounts&) = default;
 };
 
 /// Outcomes of the requests that have ended.
@@ -65,18 +80,26 @@
 
   /// Sets how a server behaves, by its number from 1 on, and how much longer
   /// than normal its work takes.
-  void SetServer(int aServer, ServerMode aMode, int aSlowdown = 1);
+  void SetServer(int aServer, ServerMode aMode, double aSlowdown = 1);
+
+  /// Registers a new start of a server, with the same id and address.
+  void RestartServer(int aServer);
 
   /// Returns the outcomes since the last call.
   LoadCounts TakeCounts();
 
+  /// Returns what a server did since the last call.
+  ServerCounts TakeServerCounts(int aServer);
+
 private:
   class Effects;
 
   struct Server
   {
     ServerMode m_mode = ServerMode::Normal;
-    int m_slowdown = 1;
+    double m_slowdown = 1;
+    registry::Server m_entry;
+    ServerCounts m_counts;
     int m_running = 0;
     std::queue<std::uint16_t> m_waiting;
     /// Flows that are open here, by the caller's port.
@@ -112,6 +135,7 @@
   std::vector<Server> m_servers;
   std::map<std::uint16_t, Attempt> m_attempts;
   std::uint16_t m_nextPort = 1024;
+  std::uint64_t m_revision = 10;
   LoadCounts m_counts;
   platform::DatagramCodec m_codec;
   std::unique_ptr<Effects> m_effects;
