Slow start: cold servers compete across zones; log, docs, measured tests

A cold server in a zone without warm servers drew every flow within its quota, because the draw was made within the zone; it now competes with the warm servers of all zones. A suspect server that other hosts hear is ramped up here too, as a host that places little on it may not hear it for long. Reports are read once per candidate.

--- a/src/wasabiloom/placing/Placement.cpp
+++ b/src/wasabiloom/placing/Placement.cpp
@@ -188,20 +188,21 @@
             std::uint64_t aHash)
 {
   const bool hasNear = std::ranges::any_of(aCandidates, [&](const auto& aOne) {
-    return aOne.m_sameZone &&
-           (IsUsable(aOne, aAvoid) || IsLimited(aOne, aAvoid));
+    return aOne.m_sameZone && IsUsable(aOne, aAvoid);
   });
+  // A cold server competes with the warm ones, whichever zone they are in.
+  const auto takesPart = [&](const Candidate& aOne) {
+    return aOne.m_cold || aOne.m_sameZone == hasNear;
+  };
   double total = 0;
   for (const Candidate& candidate : aCandidates) {
-    if (candidate.m_sameZone == hasNear) {
-      const bool isLimited = IsLimited(candidate, aAvoid);
-      const bool isFull = !isLimited && IsUsable(candidate, aAvoid);
-      total += isLimited ? candidate.m_share : (isFull ? 1 : 0);
-    }
+    const bool mayServe =
+      IsLimited(candidate, aAvoid) || IsUsable(candidate, aAvoid);
+    total += mayServe && takesPart(candidate) ? candidate.m_share : 0;
   }
   double point = total * Fraction(base::Combine(aHash, kShareSalt));
   for (const Candidate& candidate : aCandidates) {
-    if (candidate.m_sameZone != hasNear || !IsLimited(candidate, aAvoid)) {
+    if (!takesPart(candidate) || !IsLimited(candidate, aAvoid)) {
       continue;
     }
     if (point < candidate.m_share) {
--- a/src/wasabiloom/placing/SlowStart.cpp
+++ b/src/wasabiloom/placing/SlowStart.cpp
@@ -1,6 +1,7 @@
 #include "wasabiloom/placing/SlowStart.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace wasabiloom::placing {
@@ -105,10 +106,13 @@
     return 1;
   }
   if (ramp->m_suspectSince != kNever) {
-    if (aServer.m_heardAt <= ramp->m_suspectSince) {
+    if (aServer.m_heardAt > ramp->m_suspectSince) {
+      EndSuspicion(aServer, *ramp, aNow);
+    } else if (WasHeardElsewhere(*ramp, aObserved)) {
+      Begin(aServer, RampCause::HeardAgain, aNow);
+    } else {
       return FirstShareOf(aServer.m_address, aNow);
     }
-    EndSuspicion(aServer, *ramp, aNow);
   }
   if (aNow < ramp->m_pausedUntil) {
     return kPausedShare;
@@ -119,6 +123,16 @@
   return ramp->m_share;
 }
 
+bool
+SlowStart::WasHeardElsewhere(Ramp& aRamp,
+                             const std::optional<ServerObservation>& aObserved)
+{
+  const std::uint32_t observed = aObserved ? aObserved->m_responses : 0;
+  const bool hasNew = observed > aRamp.m_counted;
+  aRamp.m_counted = observed;
+  return hasNew && aObserved->m_failingHosts == 0;
+}
+
 void
 SlowStart::EndSuspicion(const ServerSighting& aServer,
                         Ramp& aRamp,
@@ -246,6 +260,8 @@
   }
   if (ramp.m_suspectSince == kNever) {
     ramp.m_suspectSince = aNow;
+    // The responses that are known by now came before the suspicion.
+    ramp.m_counted = std::numeric_limits<std::uint32_t>::max();
     ramp.m_heardBefore = aServer.m_heardAt;
   }
 }
--- a/src/wasabiloom/placing/SlowStart.h
+++ b/src/wasabiloom/placing/SlowStart.h
@@ -221,6 +221,10 @@
   void EndSuspicion(const ServerSighting& aServer,
                     Ramp& aRamp,
                     base::Instant aNow);
+  /// Whether other hosts heard the server since it became suspect here.
+  static bool WasHeardElsewhere(
+    Ramp& aRamp,
+    const std::optional<ServerObservation>& aObserved);
   void Advance(std::uint32_t aToken,
                Ramp& aRamp,
                const std::optional<ServerObservation>& aObserved,
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -118,15 +118,14 @@
 }
 
 bool
-ServerSelector::IsSuspect(const ServerRecord& aServer, base::Instant aNow) const
+ServerSelector::IsSuspectHere(const ServerRecord& aServer,
+                              base::Instant aNow) const
 {
   const std::string& zone = aServer.m_server.m_zone;
   const bool inDoubtfulZone =
     zone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(zone), aNow);
   return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
-         m_serverHealth.IsSuspect(aServer.m_token, aNow) ||
-         IsReportedFailing(
-           aServer.m_token, ObservationOf(aServer.m_token, aNow), aNow);
+         m_serverHealth.IsSuspect(aServer.m_token, aNow);
 }
 
 std::optional<placing::ServerObservation>
@@ -226,6 +225,7 @@
   aCandidate.m_latency = average.m_latency;
   aCandidate.m_serviceTime = ServiceTimeIn(average, aServer, aNow);
   if (IsReportedFailing(aServer.m_token, observed, aNow)) {
+    aCandidate.m_suspect = true;
     m_slowStart.OnSuspected(SightingOf(aServer), aNow);
   }
   aCandidate.m_share = m_slowStart.ShareOf(SightingOf(aServer), observed, aNow);
@@ -278,7 +278,7 @@
     candidate.m_slots = server->m_server.m_slots;
     candidate.m_sameZone = server->m_server.m_zone == m_ownZone;
     candidate.m_cold = aNow < server->m_coldUntil;
-    candidate.m_suspect = IsSuspect(*server, aNow);
+    candidate.m_suspect = IsSuspectHere(*server, aNow);
     if (m_usesSlowStart) {
       AddSlowStart(*server, candidate, aNow);
     }
@@ -302,7 +302,9 @@
   return m_cache.ServersByService().HasInZone(
     m_ownZone, [&](const ServerRecord& aServer) {
       return CanAcceptFlow(aServer) && aNow >= aServer.m_coldUntil &&
-             !IsSuspect(aServer, aNow);
+             !IsSuspectHere(aServer, aNow) &&
+             !IsReportedFailing(
+               aServer.m_token, ObservationOf(aServer.m_token, aNow), aNow);
     });
 }
 
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -130,8 +130,10 @@
                      base::Instant aNow);
   void RecordZoneFailure(const registry::ServerRecord& aServer,
                          base::Instant aNow);
-  bool IsSuspect(const registry::ServerRecord& aServer,
-                 base::Instant aNow) const;
+  /// Whether the registry or packets of this host's callers make `aServer`
+  /// suspect.
+  bool IsSuspectHere(const registry::ServerRecord& aServer,
+                     base::Instant aNow) const;
   /// Whether other hosts' reports make `aServer` suspect.
   bool IsReportedFailing(
     std::uint32_t aToken,
--- a/tests/unit/SlowStartTests.cpp
+++ b/tests/unit/SlowStartTests.cpp
@@ -245,6 +245,16 @@
     }
     EXPECT_LT(now, 10 + 3.0);
   });
+  Section("a suspect server that answers other hosts is no longer left out",
+          [&] {
+            OneServer server;
+            server.m_slowStart.OnSuspected(server.m_seen, At(10));
+            EXPECT_EQ(server.ShareAt(10, 5), kFirstShare);
+            EXPECT_EQ(server.ShareAt(11, 5), kFirstShare);
+            EXPECT_EQ(server.m_slowStart.Totals().m_began, 0U);
+            server.ShareAt(12, 6);
+            EXPECT_EQ(server.m_slowStart.Totals().m_began, 1U);
+          });
   Section("without flows and reports the share still grows", [&] {
     OneServer server;
     server.Restart(10);
@@ -387,6 +397,8 @@
     EXPECT_EQ(Spread(servers).at(2), 20'000);
     servers[0].m_coldAllowed = true;
     EXPECT_NEAR(Spread(servers).at(1), 20'000 * 0.1 / 1.1, 200);
+    servers[1].m_sameZone = false;
+    EXPECT_NEAR(Spread(servers).at(1), 20'000 * 0.1 / 1.1, 200);
   });
 }
 
@@ -564,9 +576,10 @@
     }
   }
   void LogDecision(const token::Decision& /*aDecision*/) override {}
-  void LogStateChange(std::string_view /*aWhat*/,
-                      const std::string& /*aDetail*/) override
+  void LogStateChange(std::string_view aWhat,
+                      const std::string& aDetail) override
   {
+    m_lines.push_back(std::string(aWhat) + " " + aDetail);
   }
   void LogDetail(std::string_view /*aWhat*/,
                  const std::string& /*aDetail*/) override
@@ -590,6 +603,7 @@
 
   base::Instant m_now;
   std::vector<base::Instant> m_sent;
+  std::vector<std::string> m_lines;
 };
 
 /// Packets in a second that 4 hosts send to a cold server with the limit 10.
@@ -661,6 +675,33 @@
   });
 }
 
+/// An operator must see why a server gets few flows.
+TEST(SlowStart, LogsTheBeginOfARamp)
+{
+  ColdCounter effects;
+  platform::DatagramCodec codec;
+  token::TokenHost host{
+    { "h", "a", 8172, 4s, { .m_slowStart = true } }, {}, 1, codec, effects
+  };
+  const registry::Page page{
+    { ConfigurationFact(1, 1), ServerFact(MakeServer("i-2"), 5) }, "", 10
+  };
+  host.NextCall(At(0));
+  host.OnListAnswer(page, At(0));
+  host.NextCall(At(0));
+  host.OnWatchAnswer(registry::Changes{ {}, 10 }, At(0));
+  host.NextCall(At(1));
+  host.OnWatchAnswer(
+    registry::Changes{ { ServerFact(MakeServer("i-1"), 11) }, 11 }, At(1));
+  host.OnPacket(Write({}), At(1));
+  effects.m_lines.clear();
+  host.OnTick(At(1.05));
+  ASSERT_EQ(effects.m_lines.size(), 1U);
+  EXPECT_TRUE(effects.m_lines[0].starts_with("ramp_began server=i-1 token="));
+  EXPECT_NE(effects.m_lines[0].find(" cause=started failures=0 share=0.1"),
+            std::string::npos);
+}
+
 /// A server that recovers must be neither flooded nor left idle.
 TEST(ServiceLoad, RampsUpAServerThatStarts)
 {
@@ -687,6 +728,44 @@
   }
 }
 
+/// A server that returns at a high load, with half of the servers: callers must
+/// not wait in its queue.
+TEST(ServiceLoad, DoesNotFloodServersThatReturnTogether)
+{
+  std::map<bool, LoadCounts> counts;
+  std::map<bool, int> peak;
+  for (const bool slowStart : { false, true }) {
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      ServiceLoad load(Shape(slowStart, 350), { { "a", 8 } }, seed);
+      load.RunFor(3s);
+      for (int server = 1; server <= 4; ++server) {
+        load.SetServer(server, ServerMode::Dark);
+      }
+      load.RunFor(4s);
+      load.TakeCounts();
+      for (int server = 1; server <= 4; ++server) {
+        // Caches are empty: a request takes longer at first.
+        load.SetServer(server, ServerMode::Normal, 5);
+        load.RestartServer(server);
+        load.TakeServerCounts(server);
+      }
+      load.RunFor(1s);
+      for (int server = 1; server <= 4; ++server) {
+        load.SetServer(server, ServerMode::Normal);
+        peak[slowStart] =
+          std::max(peak[slowStart], load.TakeServerCounts(server).m_peak);
+      }
+      load.RunFor(4s);
+      const LoadCounts one = load.TakeCounts();
+      counts[slowStart].m_inAim += one.m_inAim;
+      counts[slowStart].m_late += one.m_late;
+      counts[slowStart].m_failed += one.m_failed;
+    }
+  }
+  EXPECT_LT(counts[true].m_late, counts[false].m_late);
+  EXPECT_LE(counts[true].m_failed, counts[false].m_failed);
+}
+
 /// Each time a flapping server returns it gets less, and callers lose less.
 TEST(ServiceLoad, GivesAFlappingServerLessEachTime)
 {
@@ -714,16 +793,6 @@
       failed[slowStart] += load.TakeCounts().m_failed;
     }
   }
-  std::printf("flapping: failed %d -> %d, unanswered %d -> %d, openings %d %d "
-              "%d %d\n",
-              failed[false],
-              failed[true],
-              unanswered[false],
-              unanswered[true],
-              openings[0],
-              openings[1],
-              openings[2],
-              openings[3]);
   EXPECT_LT(failed[true], failed[false]);
   EXPECT_LT(unanswered[true], unanswered[false]);
   for (std::size_t round = 1; round < openings.size(); ++round) {
@@ -753,11 +822,6 @@
       }
     }
     const auto [least, most] = std::ranges::minmax(busy);
-    std::printf("busy at %.0f a second: %.2f %.2f %.2f s\n",
-                load,
-                std::chrono::duration<double>(busy[0]).count(),
-                std::chrono::duration<double>(busy[1]).count(),
-                std::chrono::duration<double>(busy[2]).count());
     EXPECT_LT(most - least, most * 0.15) << load;
   }
 }
