Slow start: shares are raised while many servers ramp up

Place now raises the shares of ramping servers in proportion, so that the others get at most 1.25 times their flows; servers in their pause are left out.

--- a/src/wasabiloom/placing/Placement.cpp
+++ b/src/wasabiloom/placing/Placement.cpp
@@ -1,6 +1,7 @@
 #include "wasabiloom/placing/Placement.h"
 
 #include "wasabiloom/base/Hash.h"
+#include "wasabiloom/placing/SlowStart.h"
 
 #include <boost/container/small_vector.hpp>
 
@@ -117,7 +118,7 @@
     std::nth_element(known.begin(), at, known.end());
     return static_cast<double>(at->count());
   };
-  return quartile(3) > kSpeedDifference * quartile(1);
+  return quartile(3) > kOrdinaryLatency * quartile(1);
 }
 
 /// Service time relative to `aReference`; 1 if either is not known.
@@ -180,6 +181,51 @@
            : far;
 }
 
+/// Sums over the candidates among which a flow is drawn.
+struct ShareSums
+{
+  double m_full = 0;
+  double m_ramping = 0;
+  double m_cold = 0;
+  double m_paused = 0;
+  /// Number of candidates with the full share or ramping up, and the largest
+  /// share of the latter.
+  double m_count = 0;
+  double m_largest = 0;
+
+  void Add(const Candidate& aCandidate, bool aIsLimited)
+  {
+    if (!aIsLimited) {
+      ++m_full;
+      ++m_count;
+    } else if (aCandidate.m_cold) {
+      m_cold += aCandidate.m_share;
+    } else if (aCandidate.m_share <= kPausedShare) {
+      m_paused += aCandidate.m_share;
+    } else {
+      m_ramping += aCandidate.m_share;
+      m_largest = std::max(m_largest, aCandidate.m_share);
+      ++m_count;
+    }
+  }
+
+  /// Factor of the shares of ramping candidates that keeps the extra load of
+  /// the others within kMaxExtraLoad, and no share above 1.
+  double Scale() const
+  {
+    return m_ramping > 0
+             ? std::clamp((m_count / kMaxExtraLoad - m_full) / m_ramping,
+                          1.0,
+                          1 / m_largest)
+             : 1;
+  }
+
+  double Total() const
+  {
+    return m_full + Scale() * m_ramping + m_cold + m_paused;
+  }
+};
+
 /// The candidate with a limited share that the flow's hash draws; null if it
 /// draws one of the others.
 const Candidate*
@@ -194,21 +240,25 @@
   const auto takesPart = [&](const Candidate& aOne) {
     return aOne.m_cold || aOne.m_sameZone == hasNear;
   };
-  double total = 0;
+  ShareSums sums;
   for (const Candidate& candidate : aCandidates) {
-    const bool mayServe =
-      IsLimited(candidate, aAvoid) || IsUsable(candidate, aAvoid);
-    total += mayServe && takesPart(candidate) ? candidate.m_share : 0;
+    const bool isLimited = IsLimited(candidate, aAvoid);
+    if (takesPart(candidate) && (isLimited || IsUsable(candidate, aAvoid))) {
+      sums.Add(candidate, isLimited);
+    }
   }
-  double point = total * Fraction(base::Combine(aHash, kShareSalt));
+  const double scale = sums.Scale();
+  double point = sums.Total() * Fraction(base::Combine(aHash, kShareSalt));
   for (const Candidate& candidate : aCandidates) {
     if (!takesPart(candidate) || !IsLimited(candidate, aAvoid)) {
       continue;
     }
-    if (point < candidate.m_share) {
+    const bool isScaled = !candidate.m_cold && candidate.m_share > kPausedShare;
+    const double weight = candidate.m_share * (isScaled ? scale : 1);
+    if (point < weight) {
       return &candidate;
     }
-    point -= candidate.m_share;
+    point -= weight;
   }
   return nullptr;
 }
--- a/src/wasabiloom/placing/Placement.h
+++ b/src/wasabiloom/placing/Placement.h
@@ -74,10 +74,10 @@
 /// own zone is preferred unless its load is higher by more than this.
 constexpr double kZoneDistance = 1.2;
 
-/// Servers whose response times differ by less than this factor count as
-/// equally fast: the average of kSpeedSamples responses varies by about a
-/// tenth, so that two equal servers rarely differ by more.
-constexpr double kSpeedDifference = 1.35;
+/// When many servers ramp up at a time, their shares are raised in proportion
+/// so that the others get at most this multiple of the flows that they would
+/// get if none did. Servers that are up to 80% busy can bear it.
+constexpr double kMaxExtraLoad = 1.25;
 
 /// Selects one of `aCandidates`. Servers that are not suspect come before
 /// suspect ones, then warm before cold, then the least load, where servers in
@@ -91,7 +91,7 @@
 /// load.
 ///
 /// Where the speeds of most usable candidates are known and their quartiles
-/// differ, the load is
+/// differ by more than kOrdinaryLatency, the load is
 /// the expected time of the next request: (requests in progress + 1) times the
 /// service time relative to the first quartile. The 1 is replaced by a random
 /// number of the flow with the mean 1, so that servers that are idle here get
--- a/tests/unit/SlowStartTests.cpp
+++ b/tests/unit/SlowStartTests.cpp
@@ -375,6 +375,20 @@
     servers[0].m_activeRequests = 1;
     EXPECT_FALSE(Spread(servers).contains(1));
   });
+  Section("more when many ramp up, so that the others are not overloaded", [&] {
+    auto servers = Equal(8);
+    for (std::size_t i = 0; i < 4; ++i) {
+      servers[i].m_share = 0.1;
+    }
+    const auto counts = Spread(servers);
+    EXPECT_NEAR(counts.at(8), 20'000 / 8 * kMaxExtraLoad, 200);
+    EXPECT_NEAR(counts.at(1), 20'000 / 8 * (2 - kMaxExtraLoad), 200);
+  });
+  Section("a server that pauses gets nearly nothing all the same", [&] {
+    auto servers = Equal(2);
+    servers[0].m_share = kPausedShare;
+    EXPECT_LT(Spread(servers)[1], 60);
+  });
   Section("in proportion if all ramp up, and in the own zone", [&] {
     auto servers = Equal(3);
     servers[0].m_share = 0.1;
@@ -508,14 +522,14 @@
   std::map<std::uint32_t, ServerObservation> m_known;
 };
 
-/// A selector with two servers and reports of other hosts.
+/// A selector with five servers and reports of other hosts.
 class SelectorTest : public testing::Test
 {
 protected:
   SelectorTest()
   {
     m_cache.Apply(ConfigurationFact(1, 1), At(0));
-    for (const char* id : { "i-1", "i-2" }) {
+    for (const char* id : { "i-1", "i-2", "i-3", "i-4", "i-5" }) {
       m_cache.Apply(ServerFact(MakeServer(id), 5), At(0));
     }
     m_selector.OnRegistryKnown(At(0));
@@ -553,7 +567,7 @@
   Section("it returns with a small share", [&] {
     m_load.m_known.clear();
     const auto counts = Flows(2);
-    EXPECT_LT(counts.contains(m_first) ? counts.at(m_first) : 0, 60);
+    EXPECT_LT(counts.contains(m_first) ? counts.at(m_first) : 0, 20);
   });
   Section("a single host does not", [&] {
     const std::uint32_t second = registry::MakeToken("i-2", 1);
@@ -766,6 +780,22 @@
   EXPECT_LE(counts[true].m_failed, counts[false].m_failed);
 }
 
+/// With the part on but without cause, each decision is the same.
+TEST(ServiceLoad, IsServedAsWithoutSlowStartWhileNoServerFails)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    ServiceLoad with(Shape(true), { { "a", 8 }, { "b", 4 } }, seed);
+    ServiceLoad without(Shape(false), { { "a", 8 }, { "b", 4 } }, seed);
+    with.RunFor(20s);
+    without.RunFor(20s);
+    EXPECT_EQ(with.TakeCounts(), without.TakeCounts()) << "seed " << seed;
+    for (int server = 1; server <= 12; ++server) {
+      EXPECT_EQ(with.TakeServerCounts(server), without.TakeServerCounts(server))
+        << "seed " << seed;
+    }
+  }
+}
+
 /// Each time a flapping server returns it gets less, and callers lose less.
 TEST(ServiceLoad, GivesAFlappingServerLessEachTime)
 {
