Load reports: message, exchange between hosts, table, wiring

Cause: a host knows a server's load only by the flows that it forwards itself, one in 66 to 91. Change: fleet::LoadReport with its codec, fleet::LoadExchange, the merge in placing::LoadTable, and the interface fleet::LocalLoad that TokenHost implements. Nothing is observed or sent while load_report_ms is 0.

--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -36,6 +36,7 @@
 
 FleetLink::FleetLink(const settings::TokenHostSettings& aSettings,
                      fleet::LocalFacts& aFacts,
+                     fleet::LocalLoad& aLoad,
                      std::function<void()> aOnLearned)
   : m_settings(aSettings)
   , m_facts(aFacts)
@@ -55,6 +56,11 @@
             *this)
   , m_directory(*this)
   , m_search(NewIncarnation(), m_membership, aFacts, *this)
+  , m_loadExchange(aSettings.m_loadReportInterval,
+                   NewIncarnation(),
+                   m_membership,
+                   aLoad,
+                   *this)
   , m_peerFacts(
       [this](const registry::RegistryUpdate& aUpdate) { OnPulled(aUpdate); },
       [this] { m_search.OnPullFailed(Now()); })
@@ -101,6 +107,7 @@
   m_reachability.Tick(aNow);
   m_relay.Tick(aNow);
   m_search.Tick(aIsCutOff, aNow);
+  m_loadExchange.Tick(aNow);
   if (m_facts.IsReady()) {
     RegisterProviders(aNow);
   }
@@ -205,6 +212,9 @@
   } else if (std::holds_alternative<fleet::RegistrySilent>(
                aMessage.m_content)) {
     m_relay.OnRegistrySilent(from, aNow);
+  } else if (const auto* report =
+               std::get_if<fleet::LoadReport>(&aMessage.m_content)) {
+    m_loadExchange.OnReport(aMessage.m_sender, *report, aNow);
   }
 }
 
@@ -248,6 +258,12 @@
   SendContent(aTo, aProviders);
 }
 
+void
+FleetLink::SendLoad(base::Ipv4Address aTo, const fleet::Message& aMessage)
+{
+  SendTo(aTo, aMessage);
+}
+
 void
 FleetLink::Pull(base::Ipv4Address aFrom, std::uint64_t aRevision)
 {
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -4,6 +4,7 @@
 #include "wasabiloom/daemon/PeerFacts.h"
 #include "wasabiloom/daemon/UdpSocket.h"
 #include "wasabiloom/fleet/FactRelay.h"
+#include "wasabiloom/fleet/LoadExchange.h"
 #include "wasabiloom/fleet/ProviderDirectory.h"
 #include "wasabiloom/fleet/ProviderSearch.h"
 #include "wasabiloom/fleet/ZoneReachability.h"
@@ -27,12 +28,14 @@
   , private fleet::RelayOutbox
   , private fleet::SearchOutbox
   , private fleet::ProviderDirectoryOutbox
+  , private fleet::LoadOutbox
 {
 public:
-  /// `aFacts` must outlive the link. `aOnLearned` is called after facts have
-  /// been received.
+  /// `aFacts` and `aLoad` must outlive the link. `aOnLearned` is called after
+  /// facts have been received.
   FleetLink(const settings::TokenHostSettings& aSettings,
             fleet::LocalFacts& aFacts,
+            fleet::LocalLoad& aLoad,
             std::function<void()> aOnLearned);
   ~FleetLink() override;
 
@@ -66,6 +69,10 @@
   }
 
   const fleet::SwimMembership& GetMembership() const { return m_membership; }
+  const fleet::LoadTotals& GetLoadTotals() const
+  {
+    return m_loadExchange.Totals();
+  }
 
 private:
   void SendTo(base::Ipv4Address aTo, const fleet::Message& aMessage) override;
@@ -79,6 +86,7 @@
                         std::uint64_t aRevision) override;
   void SendProviders(base::Ipv4Address aTo,
                      const fleet::Providers& aProviders) override;
+  void SendLoad(base::Ipv4Address aTo, const fleet::Message& aMessage) override;
 
   void OnReadable();
   void OnPulled(const registry::RegistryUpdate& aUpdate);
@@ -99,6 +107,7 @@
   fleet::FactRelay m_relay;
   fleet::ProviderDirectory m_directory;
   fleet::ProviderSearch m_search;
+  fleet::LoadExchange m_loadExchange;
   PeerFacts m_peerFacts;
   base::Instant m_readySince;
   /// Members whose state has changed since the last log line on members.
--- a/src/wasabiloom/daemon/TokenHostTask.cpp
+++ b/src/wasabiloom/daemon/TokenHostTask.cpp
@@ -64,7 +64,7 @@
            aAdapter.m_codec,
            *this)
   , m_factsEndpoint(m_host)
-  , m_fleet(m_settings, m_host, [this] { NoteReady(); })
+  , m_fleet(m_settings, m_host, m_host, [this] { NoteReady(); })
   , m_server(
       [this](const std::string& aPath, const HttpServer::Responder& aReply) {
         aReply(Answer(aPath));
@@ -244,7 +244,9 @@
     return { ready ? 200 : kUnavailable, "text/plain", ready ? "ready\n" : "" };
   }
   if (aPath == "/metrics") {
-    return { 200, "text/plain; version=0.0.4", m_metrics.Write(m_host) };
+    return { 200,
+             "text/plain; version=0.0.4",
+             m_metrics.Write(m_host, m_fleet.GetLoadTotals(), Now()) };
   }
   if (aPath.starts_with(kFactsPath)) {
     return m_factsEndpoint.Answer(aPath, Now());
--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -39,6 +39,11 @@
       .Name("wasabiloom_state")
       .Help("what the host holds and believes")
       .Register(m_registry);
+  prometheus::Family<prometheus::Gauge>& m_load =
+    prometheus::BuildGauge()
+      .Name("wasabiloom_requests_per_slot")
+      .Help("load of the own zone's servers, estimated from load reports")
+      .Register(m_registry);
   prometheus::Histogram& m_calls = prometheus::BuildHistogram()
                                      .Name("wasabiloom_registry_call_seconds")
                                      .Help("answer time of the registry")
@@ -57,6 +62,25 @@
       .Set(static_cast<double>(aCount));
   }
 
+  /// Sets the load of each service in the zone of `aHost`; a service without
+  /// an estimate has no gauge.
+  void SetLoads(const token::TokenHost& aHost, base::Instant aNow)
+  {
+    const placing::LoadTable& table = aHost.GetSharedLoad();
+    for (const auto& [group, slots] : table.Slots()) {
+      const auto load = table.LoadOfZone(group.m_service, group.m_zone, aNow);
+      if (group.m_zone != aHost.Zone()) {
+        continue;
+      }
+      prometheus::Gauge& gauge = m_load.Add({ { "service", group.m_service } });
+      if (load) {
+        gauge.Set(load->m_requestsPerSlot);
+      } else {
+        m_load.Remove(&gauge);
+      }
+    }
+  }
+
   void SetState(const char* aName, std::uint64_t aValue)
   {
     m_state.Add({ { "name", aName } }).Set(static_cast<double>(aValue));
@@ -83,7 +107,9 @@
 }
 
 std::string
-TokenMetrics::Write(const token::TokenHost& aHost)
+TokenMetrics::Write(const token::TokenHost& aHost,
+                    const fleet::LoadTotals& aLoad,
+                    base::Instant aNow)
 {
   const token::Totals& totals = aHost.GetTotals();
   for (std::size_t i = 0; i < token::kReasonCount; ++i) {
@@ -103,6 +129,12 @@
   m_families->SetState("servers", aHost.GetCache().ServerCount());
   m_families->SetState("revision", aHost.Revision());
   m_families->SetState("version", aHost.GetCache().CurrentGlobal().m_version);
+  m_families->SetState("load_reports_sent", aLoad.m_sent);
+  m_families->SetState("load_report_bytes_sent", aLoad.m_sentBytes);
+  m_families->SetState("load_reports_received", aLoad.m_received);
+  m_families->SetState("load_reports_ignored", aLoad.m_ignored);
+  m_families->SetState("load_reporters", aHost.GetSharedLoad().ReporterCount());
+  m_families->SetLoads(aHost, aNow);
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
                                          m_families->m_registry.Collect());
--- a/src/wasabiloom/daemon/TokenMetrics.h
+++ b/src/wasabiloom/daemon/TokenMetrics.h
@@ -1,6 +1,7 @@
 /// Metrics of a host under the token policy, as prometheus text.
 #pragma once
 
+#include "wasabiloom/fleet/LoadExchange.h"
 #include "wasabiloom/token/TokenHost.h"
 
 #include <memory>
@@ -23,8 +24,11 @@
   /// Records the time in which a batch of packets was forwarded.
   void ObserveBatch(base::Duration aSpan);
 
-  /// Returns the metrics as text, including the totals of `aHost`.
-  std::string Write(const token::TokenHost& aHost);
+  /// Returns the metrics as text, including the totals of `aHost` and of its
+  /// load reports.
+  std::string Write(const token::TokenHost& aHost,
+                    const fleet::LoadTotals& aLoad,
+                    base::Instant aNow);
 
 private:
   struct Families;
--- /dev/null
+++ b/src/wasabiloom/fleet/LoadExchange.cpp
@@ -0,0 +1,207 @@
+#include "wasabiloom/fleet/LoadExchange.h"
+
+#include "wasabiloom/fleet/MessageCodec.h"
+
+#include <algorithm>
+
+namespace wasabiloom::fleet {
+
+namespace {
+
+std::int64_t
+SizeOf(const Message& aMessage)
+{
+  return static_cast<std::int64_t>(EncodeMessage(aMessage).size() +
+                                   kHeaderBytes);
+}
+
+/// Removes the least useful item of a report. Returns false if there is none.
+bool
+Shorten(LoadReport& aReport)
+{
+  auto& hosts = aReport.m_learned.m_hosts;
+  auto& means = aReport.m_learned.m_zones;
+  auto& servers = aReport.m_load.m_servers;
+  auto& requests = aReport.m_load.m_requests;
+  // The report of a host takes about twice the bytes of a mean.
+  if (!hosts.empty() && hosts.size() * 2 >= means.size()) {
+    hosts.pop_back();
+  } else if (!means.empty()) {
+    means.pop_back();
+  } else if (!servers.empty()) {
+    servers.pop_back();
+  } else if (!requests.empty()) {
+    requests.pop_back();
+  } else {
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
+LoadOutbox::~LoadOutbox() = default;
+
+LoadExchange::LoadExchange(base::Duration aInterval,
+                           std::uint64_t aSeed,
+                           const SwimMembership& aMembership,
+                           LocalLoad& aLoad,
+                           LoadOutbox& aOutbox)
+  : m_interval(aInterval)
+  , m_random(aSeed)
+  , m_membership(aMembership)
+  , m_load(aLoad)
+  , m_outbox(aOutbox)
+  , m_allowance(kLoadBytesPerSecond, kLoadBurstBytes)
+{
+}
+
+void
+LoadExchange::Tick(base::Instant aNow)
+{
+  if (m_interval <= base::Duration::zero()) {
+    return;
+  }
+  const bool isFirst = m_tickedAt == base::Instant{};
+  const bool wasPaused = !isFirst && aNow - m_tickedAt > kExchangePause;
+  m_tickedAt = aNow;
+  if (isFirst || wasPaused) {
+    m_load.TakeLoad(aNow);
+    // Hosts that start or resume at once don't report at once.
+    m_dueAt =
+      aNow + std::chrono::duration_cast<base::Duration>(
+               m_interval * std::uniform_real_distribution<>()(m_random));
+    return;
+  }
+  m_allowance.Refill(aNow);
+  if (aNow < m_dueAt || m_allowance.Level() < kMinReportBytes) {
+    return;
+  }
+  m_dueAt = std::max(m_dueAt + m_interval, aNow);
+  UpdateLiveHosts();
+  ++m_sequence;
+  const placing::HostLoad load = m_load.TakeLoad(aNow);
+  const Member& self = m_membership.Self();
+  m_load.MergeLoad(
+    { self.m_address, self.m_zone, self.m_incarnation, m_sequence },
+    load,
+    {},
+    aNow);
+  SendReports(load, aNow);
+}
+
+void
+LoadExchange::UpdateLiveHosts()
+{
+  placing::LiveHosts live;
+  for (const auto& [zone, members] : m_membership.LiveByZone()) {
+    live[zone] = members.size();
+  }
+  ++live[m_membership.Self().m_zone];
+  m_load.SetLiveHosts(std::move(live));
+}
+
+void
+LoadExchange::SendReports(const placing::HostLoad& aLoad, base::Instant aNow)
+{
+  const std::size_t count =
+    std::min(static_cast<std::size_t>(m_allowance.Level() / kMinReportBytes),
+             kMaxReceivers);
+  const std::int64_t bytes =
+    std::min(m_allowance.Level() / static_cast<std::int64_t>(count),
+             static_cast<std::int64_t>(kMaxMessageBytes + kHeaderBytes));
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto to = NextReceiver();
+    if (!to) {
+      return;
+    }
+    const auto member = m_membership.Find(*to);
+    const bool isNear = member && member->m_zone == m_membership.Self().m_zone;
+    const Message message = Compose(aLoad, isNear, bytes, aNow);
+    const std::int64_t size = SizeOf(message);
+    m_allowance.Spend(size);
+    m_totals.m_sentBytes += static_cast<std::uint64_t>(size);
+    ++m_totals.m_sent;
+    m_outbox.SendLoad(*to, message);
+  }
+}
+
+std::optional<base::Ipv4Address>
+LoadExchange::NextReceiver()
+{
+  const bool isFar = ++m_receivers % kLoadReportsAFarOne == 0;
+  const auto drawn = DrawFrom(!isFar);
+  return drawn ? drawn : DrawFrom(isFar);
+}
+
+std::optional<base::Ipv4Address>
+LoadExchange::DrawFrom(bool aOwnZone)
+{
+  const std::string& own = m_membership.Self().m_zone;
+  std::size_t total = 0;
+  for (const auto& [zone, members] : m_membership.LiveByZone()) {
+    total += (zone == own) == aOwnZone ? members.size() : 0;
+  }
+  if (total == 0) {
+    return std::nullopt;
+  }
+  std::size_t drawn =
+    std::uniform_int_distribution<std::size_t>(0, total - 1)(m_random);
+  for (const auto& [zone, members] : m_membership.LiveByZone()) {
+    if ((zone == own) != aOwnZone) {
+      continue;
+    }
+    if (drawn < members.size()) {
+      return members[drawn]->m_address;
+    }
+    drawn -= members.size();
+  }
+  return std::nullopt;
+}
+
+Message
+LoadExchange::Compose(const placing::HostLoad& aLoad,
+                      bool aOwnZone,
+                      std::int64_t aBytes,
+                      base::Instant aNow) const
+{
+  const Member& self = m_membership.Self();
+  placing::LearnedLoad learned = m_load.NewestLoad(
+    self.m_address, aOwnZone ? kMaxReportedHosts : 0, kMaxReportedMeans, aNow);
+  if (aOwnZone) {
+    // Hosts of the zone estimate its mean themselves.
+    std::erase_if(learned.m_zones, [&](const placing::ZoneRequests& aMean) {
+      return aMean.m_sourceZone == self.m_zone;
+    });
+  }
+  // Statements on members are left to the probes, which spread them in time.
+  Message message{ self,
+                   {},
+                   LoadReport{ m_sequence, aLoad, std::move(learned) } };
+  auto& report = std::get<LoadReport>(message.m_content);
+  while (SizeOf(message) > aBytes && Shorten(report)) {
+  }
+  return message;
+}
+
+void
+LoadExchange::OnReport(const Member& aSender,
+                       const LoadReport& aReport,
+                       base::Instant aNow)
+{
+  if (m_interval <= base::Duration::zero() ||
+      aSender.m_address == m_membership.Self().m_address) {
+    return;
+  }
+  ++m_totals.m_received;
+  const bool isMerged = m_load.MergeLoad({ aSender.m_address,
+                                           aSender.m_zone,
+                                           aSender.m_incarnation,
+                                           aReport.m_sequence },
+                                         aReport.m_load,
+                                         aReport.m_learned,
+                                         aNow);
+  m_totals.m_ignored += isMerged ? 0 : 1;
+}
+
+} // namespace wasabiloom::fleet
--- /dev/null
+++ b/src/wasabiloom/fleet/LocalLoad.cpp
@@ -0,0 +1,7 @@
+#include "wasabiloom/fleet/LocalLoad.h"
+
+namespace wasabiloom::fleet {
+
+LocalLoad::~LocalLoad() = default;
+
+} // namespace wasabiloom::fleet
--- a/src/wasabiloom/fleet/Message.h
+++ b/src/wasabiloom/fleet/Message.h
@@ -2,6 +2,7 @@
 /// values.
 #pragma once
 
+#include "wasabiloom/fleet/LoadReport.h"
 #include "wasabiloom/fleet/Member.h"
 #include "wasabiloom/registry/RegistryUpdate.h"
 
@@ -98,7 +99,8 @@
                              FactsWanted,
                              FactsKnown,
                              Providers,
-                             RegistrySilent>;
+                             RegistrySilent,
+                             LoadReport>;
 
 /// One datagram.
 struct Message
--- a/src/wasabiloom/fleet/MessageCodec.cpp
+++ b/src/wasabiloom/fleet/MessageCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "generated/fleet.pb.h"
 #include "wasabiloom/base/Frame.h"
+#include "wasabiloom/fleet/LoadReportCodec.h"
 #include "wasabiloom/registry/FactsCodec.h"
 
 #include <algorithm>
@@ -104,6 +105,10 @@
   {
     m_out.mutable_silent();
   }
+  void operator()(const LoadReport& aReport) const
+  {
+    WriteLoadReport(aReport, m_out);
+  }
 };
 
 registry::RegistryUpdate
@@ -154,6 +159,8 @@
                         aMessage.tellers().waits() };
     case wire::Message::kSilent:
       return RegistrySilent{};
+    case wire::Message::kLoad:
+      return ReadLoadReport(aMessage);
     case wire::Message::CONTENT_NOT_SET:
       break;
   }
--- a/src/wasabiloom/placing/LatencyTracker.cpp
+++ b/src/wasabiloom/placing/LatencyTracker.cpp
@@ -15,6 +15,7 @@
     isFresh
       ? average.m_nanoseconds + kSampleWeight * (sample - average.m_nanoseconds)
       : sample;
+  average.m_samples = isFresh ? average.m_samples + 1 : 1;
   average.m_at = aNow;
 }
 
@@ -29,6 +30,27 @@
     static_cast<base::Duration::rep>(found->second.m_nanoseconds));
 }
 
+std::vector<SampleCount>
+LatencyTracker::Counts(base::Instant aNow) const
+{
+  std::vector<SampleCount> counts;
+  for (const auto& [token, average] : m_averages) {
+    if (average.m_samples > 0 && aNow - average.m_at <= kLatencyLife) {
+      counts.push_back({ token, average.m_samples });
+    }
+  }
+  return counts;
+}
+
+void
+LatencyTracker::RestartCount(std::uint32_t aToken)
+{
+  const auto found = m_averages.find(aToken);
+  if (found != m_averages.end()) {
+    found->second.m_samples = 0;
+  }
+}
+
 void
 LatencyTracker::Sweep(base::Instant aNow)
 {
--- a/src/wasabiloom/placing/PassiveHealthCheck.cpp
+++ b/src/wasabiloom/placing/PassiveHealthCheck.cpp
@@ -26,7 +26,9 @@
 PassiveHealthCheck::OnOpeningRetransmitted(std::uint32_t aToken,
                                            base::Instant aNow)
 {
-  Raise(m_known[aToken], aNow);
+  HealthRecord& health = m_known[aToken];
+  health.m_failsOpenings = true;
+  Raise(health, aNow);
 }
 
 void
@@ -66,6 +68,18 @@
   return found != m_known.end() && aNow < found->second.m_until;
 }
 
+std::vector<std::uint32_t>
+PassiveHealthCheck::FailingOpenings(base::Instant aNow) const
+{
+  std::vector<std::uint32_t> tokens;
+  for (const auto& [token, health] : m_known) {
+    if (health.m_failsOpenings && aNow < health.m_until) {
+      tokens.push_back(token);
+    }
+  }
+  return tokens;
+}
+
 base::Instant
 PassiveHealthCheck::LastResponseAt(std::uint32_t aToken) const
 {
--- a/src/wasabiloom/placing/PassiveHealthCheck.h
+++ b/src/wasabiloom/placing/PassiveHealthCheck.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 namespace wasabiloom::placing {
 
@@ -42,6 +43,10 @@
   /// Whether new flows should avoid the server `aToken`.
   bool IsSuspect(std::uint32_t aToken, base::Instant aNow) const;
 
+  /// Returns the servers that are suspect because of opening packets, in no
+  /// order.
+  std::vector<std::uint32_t> FailingOpenings(base::Instant aNow) const;
+
   /// Returns when a caller last received new data from `aToken`; the epoch if
   /// never.
   base::Instant LastResponseAt(std::uint32_t aToken) const;
@@ -59,6 +64,8 @@
     base::Instant m_aliveAt;
     std::uint32_t m_stalls = 0;
     std::uint32_t m_raised = 0;
+    /// Whether an opening packet was retransmitted since the last response.
+    bool m_failsOpenings = false;
   };
 
   static void Raise(HealthRecord& aHealth, base::Instant aNow);
--- a/src/wasabiloom/registry/ServiceIndex.cpp
+++ b/src/wasabiloom/registry/ServiceIndex.cpp
@@ -95,6 +95,18 @@
   });
 }
 
+void
+ServiceIndex::ForEachList(
+  const std::function<
+    void(const std::string&, const std::string&, const Servers&)>& aVisit) const
+{
+  for (const auto& [service, zones] : m_lists) {
+    for (const auto& [zone, servers] : zones) {
+      aVisit(service, zone, servers);
+    }
+  }
+}
+
 void
 ServiceIndex::Sample(std::string_view aService,
                      std::string_view aZone,
--- a/src/wasabiloom/registry/ServiceIndex.h
+++ b/src/wasabiloom/registry/ServiceIndex.h
@@ -49,6 +49,11 @@
     std::string_view aZone,
     const std::function<bool(const ServerRecord&)>& aAccepts) const;
 
+  /// Calls `aVisit` with each service, zone and list of servers.
+  void ForEachList(const std::function<void(const std::string&,
+                                            const std::string&,
+                                            const Servers&)>& aVisit) const;
+
   /// Replaces the contents of `aDrawn` with distinct servers of `aService`,
   /// those of `aZone` first: all of them where `aSize` allows, otherwise a
   /// sample that `aHash` determines. Equal hashes yield equal samples.
--- a/src/wasabiloom/token/FlowTracker.cpp
+++ b/src/wasabiloom/token/FlowTracker.cpp
@@ -1,5 +1,7 @@
 #include "wasabiloom/token/FlowTracker.h"
 
+#include <algorithm>
+
 namespace wasabiloom::token {
 
 namespace {
@@ -22,6 +24,7 @@
 FlowRecord*
 FlowTracker::FindOrAdd(const packet::FlowKey& aFlow, base::Instant aNow)
 {
+  m_now = aNow;
   if (FlowRecord* known = Find(aFlow)) {
     return known;
   }
@@ -44,7 +47,10 @@
   aRecord.m_token = aToken;
   FlowCounts& count = m_counts[aToken];
   ++count.m_openFlows;
-  count.m_activeRequests += IsActive(aRecord) ? 1 : 0;
+  if (IsActive(aRecord)) {
+    ++count.m_activeRequests;
+    NoteActive(aToken, 1);
+  }
 }
 
 void
@@ -54,10 +60,13 @@
     return;
   }
   FlowCounts& count = m_counts[aRecord.m_token];
-  count.m_activeRequests -= IsActive(aRecord) ? 1 : 0;
+  const bool wasActive = IsActive(aRecord);
   aRecord.m_awaits = aAwaits;
   aRecord.m_awaitsSince = aNow;
-  count.m_activeRequests += IsActive(aRecord) ? 1 : 0;
+  if (wasActive != IsActive(aRecord)) {
+    count.m_activeRequests += wasActive ? -1 : 1;
+    NoteActive(aRecord.m_token, wasActive ? -1 : 1);
+  }
 }
 
 void
@@ -83,7 +92,10 @@
   if (count == m_counts.end()) {
     return;
   }
-  count->second.m_activeRequests -= IsActive(aRecord) ? 1 : 0;
+  if (IsActive(aRecord)) {
+    --count->second.m_activeRequests;
+    NoteActive(aRecord.m_token, -1);
+  }
   if (--count->second.m_openFlows == 0) {
     m_counts.erase(count);
   }
@@ -92,6 +104,7 @@
 void
 FlowTracker::Sweep(base::Duration aIdle, base::Instant aNow)
 {
+  m_now = aNow;
   for (auto flow = m_flows.begin(); flow != m_flows.end();) {
     FlowRecord& record = flow->second;
     if (record.m_awaits == Awaits::Handshake &&
@@ -103,6 +116,53 @@
   }
 }
 
+void
+FlowTracker::RequestTime::Advance(base::Instant aNow)
+{
+  const base::Duration span = std::max(aNow - m_since, base::Duration::zero());
+  m_requestNanoseconds +=
+    static_cast<double>(m_active) * static_cast<double>(span.count());
+  m_since = aNow;
+}
+
+void
+FlowTracker::NoteActive(std::uint32_t aToken, std::int64_t aChange)
+{
+  if (!m_isAveraging) {
+    return;
+  }
+  RequestTime& time = m_requestTimes[aToken];
+  time.Advance(m_now);
+  time.m_active += aChange;
+}
+
+std::vector<AverageRequests>
+FlowTracker::TakeAverages(base::Instant aNow)
+{
+  const auto span = static_cast<double>((aNow - m_averagedFrom).count());
+  if (!m_isAveraging) {
+    for (const auto& [token, count] : m_counts) {
+      if (count.m_activeRequests > 0) {
+        m_requestTimes[token].m_active = count.m_activeRequests;
+      }
+    }
+  }
+  std::vector<AverageRequests> averages;
+  for (auto& [token, time] : m_requestTimes) {
+    time.Advance(aNow);
+    if (m_isAveraging && span > 0 && time.m_requestNanoseconds > 0) {
+      averages.push_back({ token, time.m_requestNanoseconds / span });
+    }
+    time.m_requestNanoseconds = 0;
+  }
+  std::erase_if(m_requestTimes,
+                [](const auto& aOne) { return aOne.second.m_active == 0; });
+  m_isAveraging = true;
+  m_averagedFrom = aNow;
+  m_now = aNow;
+  return averages;
+}
+
 FlowCounts
 FlowTracker::CountsFor(std::uint32_t aToken) const
 {
--- a/src/wasabiloom/token/FlowTracker.h
+++ b/src/wasabiloom/token/FlowTracker.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <vector>
 
 namespace wasabiloom::token {
 
@@ -50,6 +51,16 @@
   friend auto operator<=>(const FlowCounts&, const FlowCounts&) = default;
 };
 
+/// Average number of a server's active requests over a span of time.
+struct AverageRequests
+{
+  std::uint32_t m_token = 0;
+  double m_requests = 0;
+
+  friend auto operator<=>(const AverageRequests&,
+                          const AverageRequests&) = default;
+};
+
 /// Table of at most kMaxFlows flows. Not thread safe.
 class FlowTracker
 {
@@ -77,6 +88,11 @@
   /// Returns the number of flows assigned to the server `aToken`.
   FlowCounts CountsFor(std::uint32_t aToken) const;
 
+  /// Returns the averages of active requests since the last call, for servers
+  /// that had any. The first call starts the averaging; until then it costs
+  /// nothing.
+  std::vector<AverageRequests> TakeAverages(base::Instant aNow);
+
   std::size_t Size() const { return m_flows.size(); }
 
 private:
@@ -92,9 +108,28 @@
 
   Flows::iterator Erase(Flows::iterator aFlow);
   void Uncount(const FlowRecord& aRecord);
+  /// Records that the number of active requests at `aToken` changes by
+  /// `aChange`, at the time of the latest packet or sweep.
+  void NoteActive(std::uint32_t aToken, std::int64_t aChange);
+
+  /// Active requests of a server, and their sum over time.
+  struct RequestTime
+  {
+    std::int64_t m_active = 0;
+    base::Instant m_since;
+    double m_requestNanoseconds = 0;
+
+    void Advance(base::Instant aNow);
+  };
 
   Flows m_flows;
   std::unordered_map<std::uint32_t, FlowCounts> m_counts;
+  /// Servers with active requests now or since the last call of TakeAverages;
+  /// empty before the first call.
+  std::unordered_map<std::uint32_t, RequestTime> m_requestTimes;
+  bool m_isAveraging = false;
+  base::Instant m_averagedFrom;
+  base::Instant m_now;
 };
 
 /// Time after which a caller gives up an attempt to open a flow.
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wasabiloom/placing/LatencyTracker.h"
+#include "wasabiloom/placing/LoadTable.h"
 #include "wasabiloom/placing/PassiveHealthCheck.h"
 #include "wasabiloom/placing/Placement.h"
 #include "wasabiloom/placing/SharedLoad.h"
@@ -35,6 +36,9 @@
 /// selected.
 constexpr std::uint64_t kMaxSampleRounds = 3;
 
+/// Number of servers of which one report holds the response times.
+constexpr std::size_t kMaxReportedServers = 4;
+
 /// Tracks health, response times and load of all servers, and selects servers
 /// for new flows. Not thread safe.
 class ServerSelector
@@ -82,6 +86,16 @@
   bool IsConfirmedGone(const registry::ServerRecord& aServer,
                        base::Instant aNow) const;
 
+  /// Returns what this host observed since the last call: average requests at
+  /// the servers that count in UsableSlots, and the most significant servers:
+  /// first those whose state of failure has changed or holds, then those with
+  /// the most responses since they were last reported.
+  placing::HostLoad TakeLoad(base::Instant aNow);
+
+  /// Returns the slots of the warm servers that can accept new flows, by
+  /// service and zone. Passes over all servers.
+  placing::GroupSlots UsableSlots(base::Instant aNow) const;
+
   /// Removes expired response times and health records.
   void Sweep(base::Instant aNow);
 
@@ -92,6 +106,8 @@
                          base::Instant aNow);
   bool IsSuspect(const registry::ServerRecord& aServer,
                  base::Instant aNow) const;
+  std::vector<placing::GroupRequests> TakeRequests(base::Instant aNow);
+  std::vector<placing::ServerSample> TakeSamples(base::Instant aNow);
 
   std::string m_ownZone;
   const registry::RegistryCache& m_cache;
@@ -102,6 +118,8 @@
   placing::PassiveHealthCheck m_zoneHealth;
   base::Instant m_otherZoneRespondedAt;
   placing::LatencyTracker m_latencies;
+  /// Servers that the last report called failing, in ascending order.
+  std::vector<std::uint32_t> m_reportedFailing;
   /// Buffers that are reused to avoid allocations for each new flow.
   registry::ServiceIndex::Servers m_drawn;
   std::vector<placing::Candidate> m_candidates;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -23,6 +23,7 @@
   , m_effects(aEffects)
   , m_log(m_totals, aEffects)
   , m_reader(aTiming, aSeed, m_cache, m_log)
+  , m_sharedLoad(m_identity.m_zone)
   , m_servers(m_identity.m_zone, m_cache, m_flows, m_sharedLoad)
 {
 }
@@ -377,6 +378,7 @@
   NotePause(aNow);
   m_cache.Tick(aNow);
   ReleaseHeld(aNow);
+  UpdateSharedLoad(aNow);
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
     m_flows.Sweep(kFlowIdleTimeout, aNow);
@@ -384,6 +386,58 @@
   }
 }
 
+placing::HostLoad
+TokenHost::TakeLoad(base::Instant aNow)
+{
+  m_reportsLoad = true;
+  return m_servers.TakeLoad(aNow);
+}
+
+void
+TokenHost::SetLiveHosts(placing::LiveHosts aLiveHosts)
+{
+  m_sharedLoad.SetLiveHosts(std::move(aLiveHosts));
+}
+
+bool
+TokenHost::MergeLoad(const placing::Reporter& aFrom,
+                     const placing::HostLoad& aLoad,
+                     const placing::LearnedLoad& aLearned,
+                     base::Instant aNow)
+{
+  return m_sharedLoad.Merge(aFrom, aLoad, aLearned, aNow);
+}
+
+placing::LearnedLoad
+TokenHost::NewestLoad(base::Ipv4Address aSelf,
+                      std::size_t aHosts,
+                      std::size_t aMeans,
+                      base::Instant aNow) const
+{
+  return m_sharedLoad.Newest(aSelf, aHosts, aMeans, aNow);
+}
+
+void
+TokenHost::UpdateSharedLoad(base::Instant aNow)
+{
+  if (!m_reportsLoad) {
+    return;
+  }
+  if (aNow - m_slotsAt > kSlotsInterval) {
+    m_slotsAt = aNow;
+    m_sharedLoad.SetSlots(m_servers.UsableSlots(aNow));
+  }
+  m_sharedLoad.Tick(aNow);
+  const std::size_t reporters = m_sharedLoad.ReporterCount();
+  const bool isKnown = reporters >= placing::kMinReporters;
+  if (isKnown != m_knowsLoad) {
+    m_knowsLoad = isKnown;
+    m_effects.LogStateChange(isKnown ? "load_reports_current"
+                                     : "load_reports_missing",
+                             "reporters=" + std::to_string(reporters));
+  }
+}
+
 bool
 TokenHost::DependsOnOtherZones(base::Instant aNow) const
 {
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "wasabiloom/fleet/LocalFacts.h"
+#include "wasabiloom/fleet/LocalLoad.h"
 #include "wasabiloom/placing/LoadTable.h"
 #include "wasabiloom/registry/Reader.h"
 #include "wasabiloom/token/Decision.h"
@@ -76,9 +77,15 @@
 /// load.
 constexpr base::Duration kFlowIdleTimeout = std::chrono::seconds(4);
 
+/// Interval at which the slots of all servers are counted for the shared load.
+/// A count takes about 0.1 us per server.
+constexpr base::Duration kSlotsInterval = std::chrono::milliseconds(500);
+
 /// Delivers packets by the token that they carry and places new flows.
 /// Deterministic: equal inputs give equal outputs. Not thread safe.
-class TokenHost final : public fleet::LocalFacts
+class TokenHost final
+  : public fleet::LocalFacts
+  , public fleet::LocalLoad
 {
 public:
   /// The references must outlive the host. `aSeed` must differ between
@@ -118,6 +125,17 @@
   bool IsFailing() const override { return m_reader.IsFailing(); }
   void HoldListing(base::Instant aUntil) override;
 
+  placing::HostLoad TakeLoad(base::Instant aNow) override;
+  void SetLiveHosts(placing::LiveHosts aLiveHosts) override;
+  bool MergeLoad(const placing::Reporter& aFrom,
+                 const placing::HostLoad& aLoad,
+                 const placing::LearnedLoad& aLearned,
+                 base::Instant aNow) override;
+  placing::LearnedLoad NewestLoad(base::Ipv4Address aSelf,
+                                  std::size_t aHosts,
+                                  std::size_t aMeans,
+                                  base::Instant aNow) const override;
+
   /// Handles timeouts. Must be called several times a second.
   void OnTick(base::Instant aNow);
 
@@ -150,6 +168,8 @@
   const Totals& GetTotals() const { return m_totals; }
   const registry::RegistryCache& GetCache() const { return m_cache; }
   std::size_t FlowCount() const { return m_flows.Size(); }
+  const placing::LoadTable& GetSharedLoad() const { return m_sharedLoad; }
+  const std::string& Zone() const { return m_identity.m_zone; }
 
 private:
   struct Held
@@ -181,6 +201,8 @@
                     Reason aReason,
                     base::Instant aNow) const;
   void Record(const Decision& aDecision, bool aLog);
+  /// Updates the shared load, if load reports are on.
+  void UpdateSharedLoad(base::Instant aNow);
 
   TokenHostIdentity m_identity;
   const packet::TokenCodec& m_codec;
@@ -191,6 +213,9 @@
   registry::Reader m_reader;
   FlowTracker m_flows;
   placing::LoadTable m_sharedLoad;
+  bool m_reportsLoad = false;
+  bool m_knowsLoad = false;
+  base::Instant m_slotsAt;
   ServerSelector m_servers;
   std::deque<Held> m_held;
   base::Instant m_sweptAt;
