Load reports: means over several hosts instead of forwarded reports

Cause: one host hears about 7 reports within 2 s, and the requests of one host vary much. Change: reports hold means of the own zone, and means of such means. Short reports alternate with whole ones. A host's own report weighs as much as the average of the others.

--- a/src/wasabiloom/fleet/LoadExchange.cpp
+++ b/src/wasabiloom/fleet/LoadExchange.cpp
@@ -19,17 +19,16 @@
 bool
 Shorten(LoadReport& aReport)
 {
-  auto& hosts = aReport.m_learned.m_hosts;
-  auto& means = aReport.m_learned.m_zones;
+  auto& zones = aReport.m_learned.m_zones;
+  auto& means = aReport.m_learned.m_means;
   auto& servers = aReport.m_load.m_servers;
   auto& requests = aReport.m_load.m_requests;
-  // The report of a host takes about twice the bytes of a mean.
-  if (!hosts.empty() && hosts.size() * 2 >= means.size()) {
-    hosts.pop_back();
-  } else if (!means.empty()) {
-    means.pop_back();
+  if (!zones.empty() && zones.size() >= servers.size()) {
+    zones.pop_back();
   } else if (!servers.empty()) {
     servers.pop_back();
+  } else if (!means.empty()) {
+    means.pop_back();
   } else if (!requests.empty()) {
     requests.pop_back();
   } else {
@@ -74,7 +73,7 @@
     return;
   }
   m_allowance.Refill(aNow);
-  if (aNow < m_dueAt || m_allowance.Level() < kMinReportBytes) {
+  if (aNow < m_dueAt || !CanSend()) {
     return;
   }
   m_dueAt = std::max(m_dueAt + m_interval, aNow);
@@ -82,12 +81,14 @@
   ++m_sequence;
   const placing::HostLoad load = m_load.TakeLoad(aNow);
   const Member& self = m_membership.Self();
+  const placing::LearnedLoad learned =
+    m_load.NewestLoad(kMaxReportedZones, aNow);
   m_load.MergeLoad(
-    { self.m_address, self.m_zone, self.m_incarnation, m_sequence },
+    { self.m_address, self.m_zone, self.m_incarnation, m_sequence, true },
     load,
-    {},
+    learned,
     aNow);
-  SendReports(load, aNow);
+  SendReports(load, learned);
 }
 
 void
@@ -102,22 +103,19 @@
 }
 
 void
-LoadExchange::SendReports(const placing::HostLoad& aLoad, base::Instant aNow)
+LoadExchange::SendReports(const placing::HostLoad& aLoad,
+                          const placing::LearnedLoad& aLearned)
 {
-  const std::size_t count =
-    std::min(static_cast<std::size_t>(m_allowance.Level() / kMinReportBytes),
-             kMaxReceivers);
-  const std::int64_t bytes =
-    std::min(m_allowance.Level() / static_cast<std::int64_t>(count),
-             static_cast<std::int64_t>(kMaxMessageBytes + kHeaderBytes));
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = 0; i < kMaxReceivers && CanSend(); ++i) {
+    const bool isWhole = IsNextWhole();
     const auto to = NextReceiver();
     if (!to) {
       return;
     }
     const auto member = m_membership.Find(*to);
     const bool isNear = member && member->m_zone == m_membership.Self().m_zone;
-    const Message message = Compose(aLoad, isNear, bytes, aNow);
+    const Message message =
+      Compose(aLoad, aLearned, isNear, isWhole || !isNear);
     const std::int64_t size = SizeOf(message);
     m_allowance.Spend(size);
     m_totals.m_sentBytes += static_cast<std::uint64_t>(size);
@@ -126,6 +124,13 @@
   }
 }
 
+bool
+LoadExchange::CanSend() const
+{
+  return m_allowance.Level() >=
+         (IsNextWhole() ? kWholeReportBytes : kShortReportBytes);
+}
+
 std::optional<base::Ipv4Address>
 LoadExchange::NextReceiver()
 {
@@ -161,25 +166,35 @@
 
 Message
 LoadExchange::Compose(const placing::HostLoad& aLoad,
+                      const placing::LearnedLoad& aLearned,
                       bool aOwnZone,
-                      std::int64_t aBytes,
-                      base::Instant aNow) const
+                      bool aWhole) const
 {
   const Member& self = m_membership.Self();
-  placing::LearnedLoad learned = m_load.NewestLoad(
-    self.m_address, aOwnZone ? kMaxReportedHosts : 0, kMaxReportedMeans, aNow);
+  // Statements on members are left to the probes, which spread them in time.
+  Message message{ self, {}, LoadReport{ m_sequence, aLoad, aLearned } };
+  auto& report = std::get<LoadReport>(message.m_content);
+  if (!aWhole) {
+    report.m_learned.m_zones.clear();
+    std::erase_if(report.m_load.m_servers,
+                  [](const placing::ServerSample& aSample) {
+                    return !aSample.m_isFailing;
+                  });
+  }
   if (aOwnZone) {
     // Hosts of the zone estimate its mean themselves.
-    std::erase_if(learned.m_zones, [&](const placing::ZoneRequests& aMean) {
-      return aMean.m_sourceZone == self.m_zone;
-    });
+    std::erase_if(report.m_learned.m_zones,
+                  [&](const placing::ZoneRequests& aZone) {
+                    return aZone.m_sourceZone == self.m_zone;
+                  });
+  } else {
+    report.m_learned.m_means.clear();
+    report.m_load.m_requests.clear();
   }
-  // Statements on members are left to the probes, which spread them in time.
-  Message message{ self,
-                   {},
-                   LoadReport{ m_sequence, aLoad, std::move(learned) } };
-  auto& report = std::get<LoadReport>(message.m_content);
-  while (SizeOf(message) > aBytes && Shorten(report)) {
+  const std::int64_t limit =
+    std::min(m_allowance.Level(),
+             static_cast<std::int64_t>(kMaxMessageBytes + kHeaderBytes));
+  while (SizeOf(message) > limit && Shorten(report)) {
   }
   return message;
 }
--- a/src/wasabiloom/fleet/LoadExchange.h
+++ b/src/wasabiloom/fleet/LoadExchange.h
@@ -18,20 +18,23 @@
 /// Bytes of the IP and UDP headers of a datagram.
 constexpr std::size_t kHeaderBytes = 28;
 
-/// A report is sent to as many hosts, of at most kMaxReceivers, as the bytes
-/// that have accrued allow with at least kMinReportBytes for each. A smaller
-/// datagram would consist of headers and names for the most part.
+/// A report is sent to up to kMaxReceivers hosts, as far as the bytes that have
+/// accrued allow. Each is sent once the bytes that it needs have accrued: a
+/// whole report, or a short one without estimates of zones and without samples
+/// of servers that respond. Every second report is short, because the load of a
+/// zone is known the better the more reports its hosts hear.
 constexpr std::size_t kMaxReceivers = 2;
-constexpr std::int64_t kMinReportBytes = 160;
+constexpr std::int64_t kWholeReportBytes = 180;
+constexpr std::int64_t kShortReportBytes = 100;
 constexpr std::int64_t kLoadBurstBytes = 480;
 
 /// One in this many reports goes to another zone; the others stay in the zone,
 /// because traffic between zones is charged for.
 constexpr std::uint32_t kLoadReportsAFarOne = 4;
 
-/// Upper limits on the lists of a report; it is shortened until it fits.
-constexpr std::size_t kMaxReportedHosts = 12;
-constexpr std::size_t kMaxReportedMeans = 24;
+/// Upper limit on the estimates of zones in a report; it is shortened until it
+/// fits.
+constexpr std::size_t kMaxReportedZones = 24;
 
 /// A longer interval between two ticks means that this process was paused. What
 /// it observed before is discarded.
@@ -85,15 +88,20 @@
 
 private:
   void UpdateLiveHosts();
-  void SendReports(const placing::HostLoad& aLoad, base::Instant aNow);
+  void SendReports(const placing::HostLoad& aLoad,
+                   const placing::LearnedLoad& aLearned);
+  /// Whether the next report is whole. Those to other zones always are.
+  bool IsNextWhole() const { return m_receivers % 2 == 1; }
+  /// Whether the bytes that the next report needs have accrued.
+  bool CanSend() const;
   /// Returns the next receiver, or an empty value if there is no other host.
   std::optional<base::Ipv4Address> NextReceiver();
   std::optional<base::Ipv4Address> DrawFrom(bool aOwnZone);
-  /// Returns a report of at most `aBytes`, headers included.
+  /// Returns a report of at most the bytes that have accrued, headers included.
   Message Compose(const placing::HostLoad& aLoad,
+                  const placing::LearnedLoad& aLearned,
                   bool aOwnZone,
-                  std::int64_t aBytes,
-                  base::Instant aNow) const;
+                  bool aWhole) const;
 
   base::Duration m_interval;
   std::mt19937_64 m_random;
--- a/src/wasabiloom/fleet/LoadReportCodec.cpp
+++ b/src/wasabiloom/fleet/LoadReportCodec.cpp
@@ -3,6 +3,7 @@
 #include "generated/fleet.pb.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <stdexcept>
 
@@ -11,7 +12,7 @@
 namespace {
 
 namespace wire = fleet_wire;
-using placing::ForwardedLoad;
+using placing::GroupMeans;
 using placing::GroupRequests;
 using placing::ServerGroup;
 using placing::ServerSample;
@@ -25,6 +26,12 @@
 /// Number of services that one report may name.
 constexpr int kMaxServices = 64;
 
+/// Number of words that an item takes in each list.
+constexpr int kRequestWords = 2;
+constexpr int kMeanWords = 1 + placing::kMeanLevels;
+constexpr int kSampleWords = 2;
+constexpr int kZoneWords = 5;
+
 std::uint32_t
 InUnits(double aRequests)
 {
@@ -81,19 +88,30 @@
   void Write(const LoadReport& aReport)
   {
     m_out.set_sequence(aReport.m_sequence);
+    m_out.set_reporters(aReport.m_learned.m_reporters);
     CollectServices(aReport);
     for (const GroupRequests& group : aReport.m_load.m_requests) {
-      m_out.add_groups(NumberOf(group.m_group));
+      m_out.add_requests(NumberOf(group.m_group));
       m_out.add_requests(InUnits(group.m_requests));
     }
-    for (const ServerSample& server : aReport.m_load.m_servers) {
-      Write(server);
+    for (const GroupMeans& group : aReport.m_learned.m_means) {
+      m_out.add_means(NumberOf(group.m_group));
+      for (const double mean : group.m_means) {
+        m_out.add_means(InUnits(mean));
+      }
     }
-    for (const ForwardedLoad& load : aReport.m_learned.m_hosts) {
-      Write(load);
+    for (const ServerSample& server : aReport.m_load.m_servers) {
+      m_out.add_tokens(server.m_token);
+      m_out.add_samples(InUnits(server.m_latency, kLatencyUnit));
+      m_out.add_samples(std::min(server.m_responses, kMaxResponses) * 2 +
+                        (server.m_isFailing ? 1 : 0));
     }
-    for (const ZoneRequests& mean : aReport.m_learned.m_zones) {
-      Write(mean);
+    for (const ZoneRequests& zone : aReport.m_learned.m_zones) {
+      m_out.add_zones(PlaceOf(zone.m_sourceZone, *m_message.mutable_zones()));
+      m_out.add_zones(NumberOf(zone.m_group));
+      m_out.add_zones(InUnits(zone.m_requestsPerHost));
+      m_out.add_zones(zone.m_reporters);
+      m_out.add_zones(InUnits(zone.m_age, kAgeUnit));
     }
   }
 
@@ -107,10 +125,8 @@
     for (const GroupRequests& group : aReport.m_load.m_requests) {
       collect(group.m_group);
     }
-    for (const ForwardedLoad& load : aReport.m_learned.m_hosts) {
-      for (const GroupRequests& group : load.m_requests) {
-        collect(group.m_group);
-      }
+    for (const GroupMeans& group : aReport.m_learned.m_means) {
+      collect(group.m_group);
     }
     for (const ZoneRequests& mean : aReport.m_learned.m_zones) {
       collect(mean.m_group);
@@ -125,39 +141,11 @@
            PlaceOf(aGroup.m_service, *m_out.mutable_services());
   }
 
-  void Write(const ServerSample& aServer)
-  {
-    m_out.add_tokens(aServer.m_token);
-    m_out.add_latencies(InUnits(aServer.m_latency, kLatencyUnit));
-    m_out.add_responses(std::min(aServer.m_responses, kMaxResponses) * 2 +
-                        (aServer.m_isFailing ? 1 : 0));
-  }
-
-  void Write(const ForwardedLoad& aLoad)
-  {
-    m_out.add_hosts(aLoad.m_host.m_bits);
-    m_out.add_host_ages(InUnits(aLoad.m_age, kAgeUnit));
-    m_out.add_host_sizes(static_cast<std::uint32_t>(aLoad.m_requests.size()));
-    for (const GroupRequests& group : aLoad.m_requests) {
-      m_out.add_host_groups(NumberOf(group.m_group));
-      m_out.add_host_requests(InUnits(group.m_requests));
-    }
-  }
-
-  void Write(const ZoneRequests& aMean)
-  {
-    m_out.add_sources(PlaceOf(aMean.m_sourceZone, *m_message.mutable_zones()));
-    m_out.add_source_groups(NumberOf(aMean.m_group));
-    m_out.add_source_requests(InUnits(aMean.m_requestsPerHost));
-    m_out.add_source_reporters(aMean.m_reporters);
-    m_out.add_source_ages(InUnits(aMean.m_age, kAgeUnit));
-  }
-
   wire::Message& m_message;
   wire::LoadReport& m_out;
 };
 
-/// Reads the parts of one report. The lists must have passed CheckCounts.
+/// Reads the parts of one report.
 class Reader
 {
 public:
@@ -167,79 +155,59 @@
   {
   }
 
-  void CheckCounts() const
-  {
-    Require(m_in.services_size() <= kMaxServices, "too many services");
-    CheckList(
-      m_in.groups_size(), { m_in.requests_size() }, placing::kMaxGroupsPerHost);
-    CheckList(m_in.tokens_size(),
-              { m_in.latencies_size(), m_in.responses_size() },
-              placing::kMaxServersPerReport);
-    CheckList(m_in.hosts_size(),
-              { m_in.host_ages_size(), m_in.host_sizes_size() },
-              placing::kMaxForwardedLoads);
-    CheckList(m_in.host_groups_size(),
-              { m_in.host_requests_size() },
-              placing::kMaxForwardedLoads * placing::kMaxGroupsPerHost);
-    CheckList(m_in.sources_size(),
-              { m_in.source_groups_size(),
-                m_in.source_requests_size(),
-                m_in.source_reporters_size(),
-                m_in.source_ages_size() },
-              placing::kMaxZoneRequests);
-  }
-
   LoadReport Read() const
   {
+    Require(m_in.services_size() <= kMaxServices, "too many services");
     LoadReport report;
     report.m_sequence = m_in.sequence();
-    for (int i = 0; i < m_in.groups_size(); ++i) {
-      report.m_load.m_requests.push_back(
-        { GroupOf(m_in.groups(i)), Requests(m_in.requests(i)) });
-    }
-    for (int i = 0; i < m_in.tokens_size(); ++i) {
-      report.m_load.m_servers.push_back({ m_in.tokens(i),
-                                          m_in.latencies(i) * kLatencyUnit,
-                                          m_in.responses(i) / 2,
-                                          m_in.responses(i) % 2 == 1 });
-    }
-    ReadHosts(report.m_learned.m_hosts);
-    for (int i = 0; i < m_in.sources_size(); ++i) {
-      report.m_learned.m_zones.push_back({ ZoneOf(m_in.sources(i)),
-                                           GroupOf(m_in.source_groups(i)),
-                                           Requests(m_in.source_requests(i)),
-                                           m_in.source_reporters(i),
-                                           m_in.source_ages(i) * kAgeUnit });
-    }
+    report.m_learned.m_reporters = m_in.reporters();
+    ReadItems<kRequestWords>(
+      m_in.requests(), placing::kMaxGroupsPerHost, [&](const auto& aWords) {
+        report.m_load.m_requests.push_back(
+          { GroupOf(aWords[0]), Requests(aWords[1]) });
+      });
+    ReadItems<kMeanWords>(
+      m_in.means(), placing::kMaxGroupsPerHost, [&](const auto& aWords) {
+        GroupMeans means{ GroupOf(aWords[0]), {} };
+        std::transform(
+          aWords.begin() + 1, aWords.end(), means.m_means.begin(), Requests);
+        report.m_learned.m_means.push_back(std::move(means));
+      });
+    Require(m_in.samples_size() == m_in.tokens_size() * kSampleWords,
+            "load report has more or fewer samples than servers");
+    int next = 0;
+    ReadItems<kSampleWords>(
+      m_in.samples(), placing::kMaxServersPerReport, [&](const auto& aWords) {
+        report.m_load.m_servers.push_back({ m_in.tokens(next++),
+                                            aWords[0] * kLatencyUnit,
+                                            aWords[1] / 2,
+                                            aWords[1] % 2 == 1 });
+      });
+    ReadItems<kZoneWords>(
+      m_in.zones(), placing::kMaxZoneRequests, [&](const auto& aWords) {
+        report.m_learned.m_zones.push_back({ ZoneOf(aWords[0]),
+                                             GroupOf(aWords[1]),
+                                             Requests(aWords[2]),
+                                             aWords[3],
+                                             aWords[4] * kAgeUnit });
+      });
     return report;
   }
 
 private:
-  static void CheckList(int aSize,
-                        std::initializer_list<int> aOthers,
-                        std::size_t aLimit)
+  /// Calls `aTake` with the words of each item.
+  template<int kWords, typename Words, typename Take>
+  static void ReadItems(const Words& aWords,
+                        std::size_t aMaxItems,
+                        const Take& aTake)
   {
-    Require(static_cast<std::size_t>(aSize) <= aLimit,
+    Require(aWords.size() % kWords == 0, "load report has a part of an item");
+    Require(static_cast<std::size_t>(aWords.size() / kWords) <= aMaxItems,
             "load report has too many items");
-    Require(
-      std::ranges::all_of(aOthers, [&](int aOther) { return aOther == aSize; }),
-      "lists of a load report differ in length");
-  }
-
-  void ReadHosts(std::vector<ForwardedLoad>& aHosts) const
-  {
-    int next = 0;
-    for (int i = 0; i < m_in.hosts_size(); ++i) {
-      ForwardedLoad load{ { m_in.hosts(i) }, m_in.host_ages(i) * kAgeUnit, {} };
-      Require(m_in.host_sizes(i) <=
-                static_cast<std::uint32_t>(m_in.host_groups_size() - next),
-              "load report lacks the groups of a host");
-      const int end = next + static_cast<int>(m_in.host_sizes(i));
-      for (; next < end; ++next) {
-        load.m_requests.push_back({ GroupOf(m_in.host_groups(next)),
-                                    Requests(m_in.host_requests(next)) });
-      }
-      aHosts.push_back(std::move(load));
+    for (int i = 0; i < aWords.size(); i += kWords) {
+      std::array<std::uint32_t, kWords> item{};
+      std::copy_n(aWords.begin() + i, kWords, item.begin());
+      aTake(item);
     }
   }
 
@@ -278,9 +246,7 @@
 LoadReport
 ReadLoadReport(const wire::Message& aMessage)
 {
-  const Reader reader(aMessage);
-  reader.CheckCounts();
-  return reader.Read();
+  return Reader(aMessage).Read();
 }
 
 } // namespace wasabiloom::fleet
--- a/src/wasabiloom/fleet/LocalLoad.h
+++ b/src/wasabiloom/fleet/LocalLoad.h
@@ -26,9 +26,7 @@
                          base::Instant aNow) = 0;
 
   /// See placing::LoadTable::Newest.
-  virtual placing::LearnedLoad NewestLoad(base::Ipv4Address aSelf,
-                                          std::size_t aHosts,
-                                          std::size_t aMeans,
+  virtual placing::LearnedLoad NewestLoad(std::size_t aZones,
                                           base::Instant aNow) const = 0;
 };
 
--- a/src/wasabiloom/placing/LoadObservations.h
+++ b/src/wasabiloom/placing/LoadObservations.h
@@ -4,7 +4,9 @@
 #include "wasabiloom/base/Endpoint.h"
 #include "wasabiloom/base/Time.h"
 
+#include <array>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -55,15 +57,19 @@
   friend auto operator<=>(const HostLoad&, const HostLoad&) = default;
 };
 
-/// The requests of another host, as a host of the same zone passes them on.
-struct ForwardedLoad
+/// Number of means that a report holds of each group.
+constexpr std::size_t kMeanLevels = 3;
+
+/// Means of the requests of the hosts of one zone at the servers of a group, as
+/// one of these hosts knows them.
+struct GroupMeans
 {
-  base::Ipv4Address m_host;
-  /// Time since the host reported.
-  base::Duration m_age{ 0 };
-  std::vector<GroupRequests> m_requests;
+  ServerGroup m_group;
+  /// First the mean over the hosts that this host received reports from, then
+  /// the mean of their first means, and so on.
+  std::array<double, kMeanLevels> m_means{};
 
-  friend auto operator<=>(const ForwardedLoad&, const ForwardedLoad&) = default;
+  friend auto operator<=>(const GroupMeans&, const GroupMeans&) = default;
 };
 
 /// The mean requests per host of one zone at the servers of a group, as
@@ -81,10 +87,14 @@
   friend auto operator<=>(const ZoneRequests&, const ZoneRequests&) = default;
 };
 
-/// What a host has learned from others and passes on, the newest first.
+/// What a host has learned from others and passes on.
 struct LearnedLoad
 {
-  std::vector<ForwardedLoad> m_hosts;
+  /// Means of its own zone; a group that is missing has none.
+  std::vector<GroupMeans> m_means;
+  /// Number of hosts on whose reports the means rest.
+  std::uint32_t m_reporters = 0;
+  /// Estimates of zones: those of its own zone, then the newest of others.
   std::vector<ZoneRequests> m_zones;
 
   friend auto operator<=>(const LearnedLoad&, const LearnedLoad&) = default;
@@ -99,6 +109,8 @@
   std::uint64_t m_incarnation = 0;
   /// Increases with each report of the process.
   std::uint32_t m_sequence = 0;
+  /// Whether this host is the sender.
+  bool m_isSelf = false;
 
   friend auto operator<=>(const Reporter&, const Reporter&) = default;
 };
@@ -107,7 +119,6 @@
 /// stay far below, as a report fits in one datagram; more is a fault.
 constexpr std::size_t kMaxGroupsPerHost = 64;
 constexpr std::size_t kMaxServersPerReport = 32;
-constexpr std::size_t kMaxForwardedLoads = 64;
 constexpr std::size_t kMaxZoneRequests = 128;
 
 /// Longest name of a service or zone in a report, in bytes.
--- a/src/wasabiloom/placing/LoadTable.cpp
+++ b/src/wasabiloom/placing/LoadTable.cpp
@@ -7,16 +7,20 @@
 
 namespace {
 
-/// Reports of one host that differ by less in age may be the same one, which
-/// was delayed differently on its ways here.
-constexpr base::Duration kSameReport = std::chrono::milliseconds(50);
-
 bool
 IsRecent(base::Instant aAt, base::Instant aNow)
 {
   return aNow - aAt < kReportLife;
 }
 
+/// Weight of a report that is younger than kReportLife.
+double
+WeightOf(base::Duration aAge)
+{
+  const std::chrono::duration<double> left = kReportLife - aAge;
+  return std::pow(left / kReportLife, kAgeExponent);
+}
+
 bool
 IsValid(const std::string& aName)
 {
@@ -45,6 +49,18 @@
          });
 }
 
+bool
+IsValid(const std::vector<GroupMeans>& aMeans)
+{
+  return aMeans.size() <= kMaxGroupsPerHost &&
+         std::ranges::all_of(aMeans, [](const GroupMeans& aGroup) {
+           return IsValid(aGroup.m_group) &&
+                  std::ranges::all_of(aGroup.m_means, [](double aMean) {
+                    return IsValid(aMean);
+                  });
+         });
+}
+
 bool
 IsValid(base::Duration aAge)
 {
@@ -124,6 +140,7 @@
   if (!isFirst && aNow - m_ranAt > kTablePause) {
     m_pausedUntil = aNow + kDrainTime;
     m_reports.clear();
+    m_ownMeans.clear();
     m_means.clear();
     m_meanCount = 0;
     m_observed.clear();
@@ -140,32 +157,51 @@
 {
   NotePause(aNow);
   if (aNow < m_pausedUntil || !IsValid(aFrom.m_zone) ||
-      !IsValid(aLoad.m_requests) ||
+      !IsValid(aLoad.m_requests) || !IsValid(aLearned.m_means) ||
       aLoad.m_servers.size() > kMaxServersPerReport ||
-      aLearned.m_hosts.size() > kMaxForwardedLoads ||
       aLearned.m_zones.size() > kMaxZoneRequests) {
     return false;
   }
+  if (aFrom.m_zone == m_ownZone &&
+      !MergeRequests(aFrom, aLoad, aLearned, aNow)) {
+    return false;
+  }
+  MergeServers(aFrom.m_address, aLoad.m_servers, aNow);
+  for (const ZoneRequests& mean : aLearned.m_zones) {
+    MergeMean(mean, aNow);
+  }
+  return true;
+}
+
+bool
+LoadTable::MergeRequests(const Reporter& aFrom,
+                         const HostLoad& aLoad,
+                         const LearnedLoad& aLearned,
+                         base::Instant aNow)
+{
   const auto known = m_reports.find(aFrom.m_address.m_bits);
   const bool isFirst = known == m_reports.end();
   if (!isFirst &&
       !IsNewer(aFrom, known->second.m_incarnation, known->second.m_sequence)) {
     return false;
   }
-  if (!isFirst || m_reports.size() < kMaxReporters) {
-    m_reports[aFrom.m_address.m_bits] = { aFrom.m_zone,
-                                          aFrom.m_incarnation,
-                                          aFrom.m_sequence,
-                                          aNow,
-                                          aLoad.m_requests };
+  if (isFirst && m_reports.size() >= kMaxReporters) {
+    return false;
   }
-  MergeServers(aFrom.m_address, aLoad.m_servers, aNow);
-  for (const ForwardedLoad& load : aLearned.m_hosts) {
-    MergeForwarded(aFrom.m_zone, load, aNow);
+  Report report{ aFrom.m_incarnation,
+                 aFrom.m_sequence,
+                 aFrom.m_isSelf,
+                 aNow,
+                 std::min<std::size_t>(aLearned.m_reporters, kMaxReporters),
+                 {} };
+  for (const GroupRequests& group : aLoad.m_requests) {
+    report.m_requests[group.m_group][0] = group.m_requests;
   }
-  for (const ZoneRequests& mean : aLearned.m_zones) {
-    MergeMean(mean, aNow);
+  for (const GroupMeans& group : aLearned.m_means) {
+    Levels& levels = report.m_requests[group.m_group];
+    std::ranges::copy(group.m_means, levels.begin() + 1);
   }
+  m_reports[aFrom.m_address.m_bits] = std::move(report);
   return true;
 }
 
@@ -198,29 +234,6 @@
   }
 }
 
-void
-LoadTable::MergeForwarded(const std::string& aZone,
-                          const ForwardedLoad& aLoad,
-                          base::Instant aNow)
-{
-  if (!IsValid(aLoad.m_age) || !IsValid(aLoad.m_requests)) {
-    return;
-  }
-  const base::Instant at = aNow - aLoad.m_age;
-  const auto known = m_reports.find(aLoad.m_host.m_bits);
-  if (known == m_reports.end()) {
-    if (m_reports.size() < kMaxReporters) {
-      m_reports[aLoad.m_host.m_bits] = { aZone, 0, 0, at, aLoad.m_requests };
-    }
-    return;
-  }
-  Report& report = known->second;
-  if (report.m_zone == aZone && at > report.m_at + kSameReport) {
-    report.m_at = at;
-    report.m_requests = aLoad.m_requests;
-  }
-}
-
 void
 LoadTable::MergeMean(const ZoneRequests& aMean, base::Instant aNow)
 {
@@ -254,8 +267,7 @@
   }
   m_estimatedAt = aNow;
   Expire(aNow);
-  SumReports(aNow);
-  ChooseMeans();
+  AverageReports(aNow);
   EstimateLoads();
 }
 
@@ -279,48 +291,48 @@
   });
 }
 
-void
-LoadTable::SumReports(base::Instant aNow)
+double
+LoadTable::OwnWeight(base::Instant aNow) const
 {
-  m_sums.clear();
+  double total = 0;
+  std::size_t count = 0;
   for (const auto& [address, report] : m_reports) {
-    const double weight =
-      1 - std::chrono::duration<double>(aNow - report.m_at) / kReportLife;
-    ZoneSum& sum = m_sums[report.m_zone];
-    sum.m_weight += weight;
-    sum.m_at = std::max(sum.m_at, report.m_at);
-    ++sum.m_reporters;
-    for (const GroupRequests& group : report.m_requests) {
-      sum.m_requests[group.m_group] += weight * group.m_requests;
+    if (!report.m_isSelf) {
+      total += WeightOf(aNow - report.m_at);
+      ++count;
     }
   }
+  return count == 0 ? 1 : total / static_cast<double>(count);
 }
 
 void
-LoadTable::ChooseMeans()
+LoadTable::AverageReports(base::Instant aNow)
 {
-  m_chosen = m_means;
-  for (const auto& [zone, sum] : m_sums) {
-    if (sum.m_reporters < ReportersNeeded(zone) || sum.m_weight <= 0) {
-      continue;
+  m_ownMeans.clear();
+  // A zone that sends nothing to its own servers has head room, which differs
+  // from having no report.
+  for (const auto& [group, slots] : m_slots) {
+    if (group.m_zone == m_ownZone) {
+      m_ownMeans[group] = {};
     }
-    Means& means = m_chosen[zone];
-    const auto offer = [&, reporters = sum.m_reporters, at = sum.m_at](
-                         const ServerGroup& aGroup, double aRequestsPerHost) {
-      Mean& mean = means[aGroup];
-      if (reporters >= mean.m_reporters) {
-        mean = { aRequestsPerHost, reporters, at };
+  }
+  const double ownWeight = OwnWeight(aNow);
+  double total = 0;
+  for (const auto& [address, report] : m_reports) {
+    const double weight =
+      report.m_isSelf ? ownWeight : WeightOf(aNow - report.m_at);
+    total += weight;
+    m_newestAt = std::max(m_newestAt, report.m_at);
+    for (const auto& [group, requests] : report.m_requests) {
+      Levels& sums = m_ownMeans[group];
+      for (std::size_t level = 0; level < sums.size(); ++level) {
+        sums.at(level) += weight * requests.at(level);
       }
-    };
-    for (const auto& [group, requests] : sum.m_requests) {
-      offer(group, requests / sum.m_weight);
     }
-    // A zone that sends nothing to its own servers has head room, which differs
-    // from having no report.
-    for (const auto& [group, slots] : m_slots) {
-      if (group.m_zone == zone && !sum.m_requests.contains(group)) {
-        offer(group, 0);
-      }
+  }
+  for (auto& [group, sums] : m_ownMeans) {
+    for (double& sum : sums) {
+      sum = total > 0 ? sum / total : 0;
     }
   }
 }
@@ -329,25 +341,34 @@
 LoadTable::EstimateLoads()
 {
   m_estimates.clear();
+  const bool knowsOwn = AreEnough(ReportersKnown(), m_ownZone);
   for (const auto& [group, slots] : m_slots) {
-    const auto own = m_chosen.find(group.m_zone);
-    const bool isKnown =
-      own != m_chosen.end() && own->second.contains(group) && slots > 0;
-    if (!isKnown) {
-      continue;
-    }
     double requests = 0;
     std::size_t reporters = 0;
-    base::Instant at = own->second.at(group).m_at;
-    for (const auto& [source, means] : m_chosen) {
+    bool isKnown = false;
+    base::Instant at;
+    const auto add = [&, &zone = group.m_zone](const std::string& aSource,
+                                               const Mean& aMean) {
+      requests +=
+        aMean.m_requestsPerHost * static_cast<double>(LiveHostsOf(aSource));
+      reporters += aMean.m_reporters;
+      if (aSource == zone) {
+        isKnown = true;
+        at = aMean.m_at;
+      }
+    };
+    const auto own = m_ownMeans.find(group);
+    if (knowsOwn && own != m_ownMeans.end()) {
+      add(m_ownZone, { own->second.back(), ReportersKnown(), m_newestAt });
+    }
+    for (const auto& [source, means] : m_means) {
       const auto mean = means.find(group);
-      if (mean != means.end()) {
-        requests += mean->second.m_requestsPerHost *
-                    static_cast<double>(LiveHostsOf(source));
-        reporters += mean->second.m_reporters;
+      if (mean != means.end() && AreEnough(mean->second.m_reporters, source)) {
+        add(source, mean->second);
       }
     }
-    if (reporters >= kMinReporters) {
+    // Without the reports of the zone's own hosts, most of its load is unknown.
+    if (isKnown && slots > 0 && reporters >= kMinReporters) {
       m_estimates[group.m_service][group.m_zone] = {
         requests / static_cast<double>(slots), at
       };
@@ -356,9 +377,20 @@
 }
 
 std::size_t
-LoadTable::ReportersNeeded(const std::string& aZone) const
+LoadTable::ReportersKnown() const
 {
-  return std::clamp<std::size_t>(LiveHostsOf(aZone), 1, kMinReporters);
+  std::size_t known = m_reports.size();
+  for (const auto& [address, report] : m_reports) {
+    known = std::max(known, report.m_reporters);
+  }
+  return known;
+}
+
+bool
+LoadTable::AreEnough(std::size_t aReporters, const std::string& aZone) const
+{
+  return aReporters >=
+         std::clamp<std::size_t>(LiveHostsOf(aZone), 1, kMinReporters);
 }
 
 std::size_t
@@ -369,54 +401,44 @@
 }
 
 LearnedLoad
-LoadTable::Newest(base::Ipv4Address aSelf,
-                  std::size_t aHosts,
-                  std::size_t aMeans,
-                  base::Instant aNow) const
+LoadTable::Newest(std::size_t aZones, base::Instant aNow) const
 {
   LearnedLoad learned;
-  for (const auto& [address, report] : m_reports) {
-    const base::Duration age = aNow - report.m_at;
-    if (report.m_zone == m_ownZone && address != aSelf.m_bits && IsValid(age)) {
-      learned.m_hosts.push_back({ { address }, age, {} });
-    }
-  }
-  std::ranges::sort(learned.m_hosts, {}, &ForwardedLoad::m_age);
-  learned.m_hosts.resize(std::min(learned.m_hosts.size(), aHosts));
-  for (ForwardedLoad& load : learned.m_hosts) {
-    load.m_requests = m_reports.at(load.m_host.m_bits).m_requests;
-  }
-  // The own zone's means are as old as their computation, those of other zones
-  // keep the age that they came with.
-  const auto add = [&](const std::string& aZone,
-                       const ServerGroup& aGroup,
-                       const Mean& aMean,
-                       base::Duration aAge) {
-    if (IsValid(aAge)) {
-      learned.m_zones.push_back({ aZone,
-                                  aGroup,
-                                  aMean.m_requestsPerHost,
-                                  static_cast<std::uint32_t>(aMean.m_reporters),
-                                  aAge });
-    }
-  };
-  const auto own = m_chosen.find(m_ownZone);
-  if (own != m_chosen.end()) {
-    for (const auto& [group, mean] : own->second) {
-      add(m_ownZone, group, mean, aNow - m_estimatedAt);
+  learned.m_reporters = static_cast<std::uint32_t>(m_reports.size());
+  const bool knowsOwn = AreEnough(ReportersKnown(), m_ownZone);
+  const base::Duration ownAge = aNow - m_estimatedAt;
+  for (const auto& [group, means] : m_ownMeans) {
+    GroupMeans own{ group, {} };
+    std::copy_n(means.begin(), kMeanLevels, own.m_means.begin());
+    learned.m_means.push_back(std::move(own));
+    if (knowsOwn && IsValid(ownAge)) {
+      learned.m_zones.push_back({ m_ownZone,
+                                  group,
+                                  means.back(),
+                                  static_cast<std::uint32_t>(ReportersKnown()),
+                                  ownAge });
     }
   }
+  learned.m_means.resize(std::min(learned.m_means.size(), kMaxGroupsPerHost));
   const auto others = static_cast<std::ptrdiff_t>(learned.m_zones.size());
   for (const auto& [zone, means] : m_means) {
     for (const auto& [group, mean] : means) {
-      add(zone, group, mean, aNow - mean.m_at);
+      const base::Duration age = aNow - mean.m_at;
+      if (IsValid(age)) {
+        learned.m_zones.push_back(
+          { zone,
+            group,
+            mean.m_requestsPerHost,
+            static_cast<std::uint32_t>(mean.m_reporters),
+            age });
+      }
     }
   }
   std::ranges::sort(learned.m_zones.begin() + others,
                     learned.m_zones.end(),
                     {},
                     &ZoneRequests::m_age);
-  learned.m_zones.resize(std::min(learned.m_zones.size(), aMeans));
+  learned.m_zones.resize(std::min(learned.m_zones.size(), aZones));
   return learned;
 }
 
--- a/src/wasabiloom/placing/LoadTable.h
+++ b/src/wasabiloom/placing/LoadTable.h
@@ -12,15 +12,18 @@
 
 namespace wasabiloom::placing {
 
-/// Time for which a report is valid. Its weight falls linearly to zero within
-/// this time, so that a change of load shows before all older reports expire.
+/// Time for which a report is valid. Its weight falls to zero within this time,
+/// as the power kAgeExponent of the remaining share. The estimate of a zone
+/// takes several means in a row, so new reports must count for more than old
+/// ones to show a change of load within 2 s.
 constexpr base::Duration kReportLife = std::chrono::seconds(2);
+constexpr int kAgeExponent = 5;
 
 /// Number of reporters below which there is no estimate.
 constexpr std::size_t kMinReporters = 3;
 
-/// Limits on the table's memory: hosts, means of other zones, and servers with
-/// their reporters. What exceeds them is ignored.
+/// Limits on the table's memory: hosts of the own zone, estimates of other
+/// zones, and servers with their reporters. What exceeds them is ignored.
 constexpr std::size_t kMaxReporters = 512;
 constexpr std::size_t kMaxZoneMeans = 1024;
 constexpr std::size_t kMaxObservedServers = 16'384;
@@ -42,7 +45,14 @@
 using LiveHosts = std::map<std::string, std::size_t>;
 
 /// The load of zones and servers, merged from recent reports. Empty as long as
-/// no host sends reports. Not thread safe.
+/// no host sends reports.
+///
+/// A host hears only some hosts of its zone within kReportLife, and the
+/// requests of one host vary much from report to report. Reports therefore also
+/// hold the mean over the hosts that their sender heard, the mean of such
+/// means, and so on. The estimate of the zone is the mean of the last, and thus
+/// rests on most of its hosts. Hosts of other zones take it over and pass it on
+/// with its age. Not thread safe.
 class LoadTable final : public SharedLoad
 {
 public:
@@ -76,28 +86,32 @@
   /// kEstimateInterval. Call it several times a second.
   void Tick(base::Instant aNow);
 
-  /// Returns what this host passes on: the newest reports of up to `aHosts`
-  /// other hosts of its zone, and the newest means of up to `aMeans` groups,
-  /// those of its zone first.
-  LearnedLoad Newest(base::Ipv4Address aSelf,
-                     std::size_t aHosts,
-                     std::size_t aMeans,
-                     base::Instant aNow) const;
+  /// Returns what this host passes on, with up to `aZones` estimates of zones.
+  LearnedLoad Newest(std::size_t aZones, base::Instant aNow) const;
 
-  /// Number of hosts whose own reports are valid.
+  /// Number of hosts of the own zone whose reports are valid here, or at a host
+  /// whose report is.
+  std::size_t ReportersKnown() const;
+
+  /// Number of hosts of the own zone whose reports are valid.
   std::size_t ReporterCount() const { return m_reports.size(); }
 
 private:
+  /// Requests of a host, followed by its means.
+  using Levels = std::array<double, kMeanLevels + 1>;
+
   struct Report
   {
-    std::string m_zone;
     std::uint64_t m_incarnation = 0;
     std::uint32_t m_sequence = 0;
+    bool m_isSelf = false;
     base::Instant m_at;
-    std::vector<GroupRequests> m_requests;
+    /// Number of hosts on whose reports its means rest.
+    std::size_t m_reporters = 0;
+    std::map<ServerGroup, Levels> m_requests;
   };
 
-  /// Mean of a source zone, by the reports of its hosts or as estimated there.
+  /// Mean of a source zone, as estimated there.
   struct Mean
   {
     double m_requestsPerHost = 0;
@@ -105,15 +119,6 @@
     base::Instant m_at;
   };
 
-  /// Sums over the reports of the hosts of one zone.
-  struct ZoneSum
-  {
-    double m_weight = 0;
-    std::size_t m_reporters = 0;
-    base::Instant m_at;
-    std::map<ServerGroup, double> m_requests;
-  };
-
   struct Estimate
   {
     double m_requestsPerSlot = 0;
@@ -133,31 +138,37 @@
   using Means = std::map<ServerGroup, Mean>;
 
   void NotePause(base::Instant aNow);
+  /// Returns false if the report is not newer than the known one of its host.
+  bool MergeRequests(const Reporter& aFrom,
+                     const HostLoad& aLoad,
+                     const LearnedLoad& aLearned,
+                     base::Instant aNow);
   void MergeServers(base::Ipv4Address aHost,
                     const std::vector<ServerSample>& aServers,
                     base::Instant aNow);
-  void MergeForwarded(const std::string& aZone,
-                      const ForwardedLoad& aLoad,
-                      base::Instant aNow);
   void MergeMean(const ZoneRequests& aMean, base::Instant aNow);
   void Expire(base::Instant aNow);
-  void SumReports(base::Instant aNow);
-  void ChooseMeans();
+  /// Averages the reports of the own zone, level by level.
+  void AverageReports(base::Instant aNow);
+  /// Weight of the report of this host: the mean of the others' weights. As its
+  /// report is always the newest, its load would otherwise dominate.
+  double OwnWeight(base::Instant aNow) const;
   void EstimateLoads();
-  /// Number of reporters of `aZone` that its mean must rest on.
-  std::size_t ReportersNeeded(const std::string& aZone) const;
+  /// Whether `aReporters` are enough for an estimate of `aZone`.
+  bool AreEnough(std::size_t aReporters, const std::string& aZone) const;
   std::size_t LiveHostsOf(const std::string& aZone) const;
 
   std::string m_ownZone;
   GroupSlots m_slots;
   LiveHosts m_liveHosts;
+  /// Reports of the hosts of the own zone, this host included.
   std::unordered_map<std::uint32_t, Report> m_reports;
-  /// Means that were estimated in their source zone, by that zone.
+  /// Means over m_reports, level by level.
+  std::map<ServerGroup, Levels> m_ownMeans;
+  base::Instant m_newestAt;
+  /// Means of other zones.
   std::map<std::string, Means, std::less<>> m_means;
   std::size_t m_meanCount = 0;
-  std::map<std::string, ZoneSum, std::less<>> m_sums;
-  /// The mean of each source zone that rests on more reporters.
-  std::map<std::string, Means, std::less<>> m_chosen;
   std::
     map<std::string, std::map<std::string, Estimate, std::less<>>, std::less<>>
       m_estimates;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -409,12 +409,9 @@
 }
 
 placing::LearnedLoad
-TokenHost::NewestLoad(base::Ipv4Address aSelf,
-                      std::size_t aHosts,
-                      std::size_t aMeans,
-                      base::Instant aNow) const
+TokenHost::NewestLoad(std::size_t aZones, base::Instant aNow) const
 {
-  return m_sharedLoad.Newest(aSelf, aHosts, aMeans, aNow);
+  return m_sharedLoad.Newest(aZones, aNow);
 }
 
 void
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -131,9 +131,7 @@
                  const placing::HostLoad& aLoad,
                  const placing::LearnedLoad& aLearned,
                  base::Instant aNow) override;
-  placing::LearnedLoad NewestLoad(base::Ipv4Address aSelf,
-                                  std::size_t aHosts,
-                                  std::size_t aMeans,
+  placing::LearnedLoad NewestLoad(std::size_t aZones,
                                   base::Instant aNow) const override;
 
   /// Handles timeouts. Must be called several times a second.
--- a/tests/support/FleetNet.cpp
+++ b/tests/support/FleetNet.cpp
@@ -273,6 +273,18 @@
   return m_hosts[aHost]->GetRoster();
 }
 
+const placing::LoadTable&
+FleetNet::LoadTableOf(std::size_t aHost) const
+{
+  return m_hosts[aHost]->GetLoadTable();
+}
+
+const fleet::LoadTotals&
+FleetNet::LoadTotalsOf(std::size_t aHost) const
+{
+  return m_hosts[aHost]->GetLoadTotals();
+}
+
 std::uint64_t
 FleetNet::RevisionOf(std::size_t aHost) const
 {
--- a/tests/support/FleetNet.h
+++ b/tests/support/FleetNet.h
@@ -5,6 +5,7 @@
 #include "support/Registry.h"
 #include "support/TimedEvent.h"
 #include "wasabiloom/fleet/FactRelay.h"
+#include "wasabiloom/fleet/LoadExchange.h"
 #include "wasabiloom/fleet/ProviderDirectory.h"
 #include "wasabiloom/fleet/ProviderSearch.h"
 #include "wasabiloom/fleet/ZoneReachability.h"
@@ -33,6 +34,8 @@
   /// them.
   double m_listing = 0;
   double m_packed = 0;
+  /// Interval of the hosts' load reports; zero for none.
+  base::Duration m_loadInterval{ 0 };
 };
 
 /// What one host has sent and received, in bytes.
@@ -73,6 +76,10 @@
   /// Whether it refuses a host's calls at once instead.
   bool m_refuses = false;
   double m_loss = 0;
+  /// What a host observes of the load, as an average from one time to another.
+  std::function<placing::HostLoad(std::size_t, base::Instant, base::Instant)>
+    m_loadOf;
+  placing::GroupSlots m_slots;
 
   /// The registry goes on to its next revision, and version.
   void Publish();
@@ -93,6 +100,8 @@
 
   const fleet::SwimMembership& RosterOf(std::size_t aHost) const;
   fleet::ZoneReachability& ReachabilityOf(std::size_t aHost);
+  const placing::LoadTable& LoadTableOf(std::size_t aHost) const;
+  const fleet::LoadTotals& LoadTotalsOf(std::size_t aHost) const;
   std::uint64_t RevisionOf(std::size_t aHost) const;
   std::uint64_t VersionOf(std::size_t aHost) const;
   std::uint64_t LatestVersion() const { return m_version; }
--- a/tests/support/FleetNetHost.h
+++ b/tests/support/FleetNetHost.h
@@ -7,6 +7,8 @@
 #include "wasabiloom/fleet/MessageCodec.h"
 #include "wasabiloom/registry/FactsCodec.h"
 
+#include <utility>
+
 namespace wasabiloom::tests {
 
 /// Time until the registry begins to answer.
@@ -21,10 +23,12 @@
 /// One host: a reader with its call under way, and its part in the fleet.
 class FleetNet::Host final
   : public fleet::LocalFacts
+  , public fleet::LocalLoad
   , private fleet::MembershipOutbox
   , private fleet::RelayOutbox
   , private fleet::SearchOutbox
   , private fleet::ProviderDirectoryOutbox
+  , private fleet::LoadOutbox
 {
 public:
   Host(FleetNet& aNet, std::size_t aIndex, std::uint64_t aIncarnation)
@@ -42,6 +46,8 @@
     , m_relay({}, aIncarnation, m_roster, *this, *this)
     , m_board(*this)
     , m_search(aIncarnation, m_roster, *this, *this)
+    , m_loadTable(Zone())
+    , m_loads(aNet.m_links.m_loadInterval, aIncarnation, m_roster, *this, *this)
     , m_startedAt(aNet.m_now)
   {
     std::vector<base::Ipv4Address> seeds;
@@ -68,6 +74,9 @@
     }
     m_board.SetAwaitsConfiguration(HasListed() && !IsReady());
     m_board.Tick(now);
+    m_loads.Tick(now);
+    m_loadTable.SetSlots(m_net.m_slots);
+    m_loadTable.Tick(now);
     BeginCall();
     NoteReady();
   }
@@ -91,6 +100,9 @@
     } else if (std::holds_alternative<fleet::RegistrySilent>(
                  message.m_content)) {
       m_relay.OnRegistrySilent(from, m_net.m_now);
+    } else if (const auto* report =
+                 std::get_if<fleet::LoadReport>(&message.m_content)) {
+      m_loads.OnReport(message.m_sender, *report, m_net.m_now);
     }
     NoteReady();
   }
@@ -124,6 +136,31 @@
     m_reader.DelayFirstListing(aUntil);
   }
 
+  placing::HostLoad TakeLoad(base::Instant aNow) override
+  {
+    const base::Instant from = std::exchange(m_loadTakenAt, aNow);
+    return m_net.m_loadOf ? m_net.m_loadOf(m_index, from, aNow)
+                          : placing::HostLoad{};
+  }
+  void SetLiveHosts(placing::LiveHosts aLiveHosts) override
+  {
+    m_loadTable.SetLiveHosts(std::move(aLiveHosts));
+  }
+  bool MergeLoad(const placing::Reporter& aFrom,
+                 const placing::HostLoad& aLoad,
+                 const placing::LearnedLoad& aLearned,
+                 base::Instant aNow) override
+  {
+    return m_loadTable.Merge(aFrom, aLoad, aLearned, aNow);
+  }
+  placing::LearnedLoad NewestLoad(std::size_t aZones,
+                                  base::Instant aNow) const override
+  {
+    return m_loadTable.Newest(aZones, aNow);
+  }
+
+  const placing::LoadTable& GetLoadTable() const { return m_loadTable; }
+  const fleet::LoadTotals& GetLoadTotals() const { return m_loads.Totals(); }
   const fleet::SwimMembership& GetRoster() const { return m_roster; }
   fleet::ZoneReachability& GetReachability() { return m_reachability; }
   bool IsReader() const { return m_relay.IsReader(); }
@@ -265,6 +302,10 @@
   {
     SendContent(aTo, aProviders);
   }
+  void SendLoad(base::Ipv4Address aTo, const fleet::Message& aMessage) override
+  {
+    SendTo(aTo, aMessage);
+  }
   void PullInitialFacts(base::Ipv4Address aFrom,
                         std::uint64_t aRevision) override
   {
@@ -319,6 +360,9 @@
   fleet::FactRelay m_relay;
   fleet::ProviderDirectory m_board;
   fleet::ProviderSearch m_search;
+  placing::LoadTable m_loadTable;
+  fleet::LoadExchange m_loads;
+  base::Instant m_loadTakenAt;
   base::Instant m_startedAt;
   std::optional<base::Instant> m_readyAt;
   std::optional<registry::ReaderCall> m_call;
