--- a/src/wasabiloom/placing/LatencyTracker.cpp
+++ b/src/wasabiloom/placing/LatencyTracker.cpp
@@ -36,6 +36,7 @@
       : sample;
   average.m_samples =
     isFresh ? std::min(average.m_samples + 1, kMaxSamples) : 1;
+  average.m_unreported = isFresh ? average.m_unreported + 1 : 1;
   average.m_at = aNow;
 }
 
@@ -52,6 +53,27 @@
            record.m_samples };
 }
 
+std::vector<SampleCount>
+LatencyTracker::Counts(base::Instant aNow) const
+{
+  std::vector<SampleCount> counts;
+  for (const auto& [token, average] : m_averages) {
+    if (average.m_unreported > 0 && aNow - average.m_at <= kLatencyLife) {
+      counts.push_back({ token, average.m_unreported });
+    }
+  }
+  return counts;
+}
+
+void
+LatencyTracker::RestartCount(std::uint32_t aToken)
+{
+  const auto found = m_averages.find(aToken);
+  if (found != m_averages.end()) {
+    found->second.m_unreported = 0;
+  }
+}
+
 void
 LatencyTracker::Sweep(base::Instant aNow)
 {
--- a/src/wasabiloom/placing/LatencyTracker.h
+++ b/src/wasabiloom/placing/LatencyTracker.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace wasabiloom::placing {
 
@@ -42,6 +43,15 @@
 Merge(const LatencyAverage& aOwn,
       const std::optional<ServerObservation>& aObserved);
 
+/// Number of response times that were added since an earlier time.
+struct SampleCount
+{
+  std::uint32_t m_token = 0;
+  std::uint32_t m_samples = 0;
+
+  friend auto operator<=>(const SampleCount&, const SampleCount&) = default;
+};
+
 /// Exponential moving averages of response times by server token. Not thread
 /// safe.
 class LatencyTracker
@@ -63,6 +73,13 @@
   /// Returns the same with the number of samples.
   LatencyAverage Average(std::uint32_t aToken, base::Instant aNow) const;
 
+  /// Returns the number of samples of each server with any since the last call
+  /// of RestartCount, in no order.
+  std::vector<SampleCount> Counts(base::Instant aNow) const;
+
+  /// Restarts the count of samples of the server `aToken`.
+  void RestartCount(std::uint32_t aToken);
+
   /// Removes averages that are older than kLatencyLife.
   void Sweep(base::Instant aNow);
 
@@ -71,6 +88,8 @@
   {
     double m_nanoseconds = 0;
     std::uint32_t m_samples = 0;
+    /// Samples since the last call of RestartCount.
+    std::uint32_t m_unreported = 0;
     base::Instant m_at;
   };
 
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -4,6 +4,7 @@
 
 #include "wasabiloom/placing/ColdQuota.h"
 #include "wasabiloom/placing/LatencyTracker.h"
+#include "wasabiloom/placing/LoadTable.h"
 #include "wasabiloom/placing/PassiveHealthCheck.h"
 #include "wasabiloom/placing/Placement.h"
 #include "wasabiloom/placing/SharedLoad.h"
@@ -45,6 +46,8 @@
 /// Time for which a response of a server outweighs what other hosts report; the
 /// longest age of a report.
 constexpr base::Duration kReportLife = std::chrono::seconds(2);
+/// Number of servers of which one report holds the response times.
+constexpr std::size_t kMaxReportedServers = 4;
 
 /// Tracks health, response times and load of all servers, and selects servers
 /// for new flows. Not thread safe.
@@ -122,6 +125,16 @@
   bool IsConfirmedGone(const registry::ServerRecord& aServer,
                        base::Instant aNow) const;
 
+  /// Returns what this host observed since the last call: average requests at
+  /// the servers that count in UsableSlots, and the most significant servers:
+  /// first those whose state of failure has changed or holds, then those with
+  /// the most responses since they were last reported.
+  placing::HostLoad TakeLoad(base::Instant aNow);
+
+  /// Returns the slots of the warm servers that can accept new flows, by
+  /// service and zone. Passes over all servers.
+  placing::GroupSlots UsableSlots(base::Instant aNow) const;
+
   /// Removes expired response times and health records.
   void Sweep(base::Instant aNow);
 
@@ -157,6 +170,8 @@
                     base::Instant aNow);
   /// Limit of the configuration for a cold server of `aService`; 0 for none.
   double ColdFlowsPerSecond(std::string_view aService) const;
+  std::vector<placing::GroupRequests> TakeRequests(base::Instant aNow);
+  std::vector<placing::ServerSample> TakeSamples(base::Instant aNow);
 
   std::string m_ownZone;
   const registry::RegistryCache& m_cache;
@@ -173,6 +188,8 @@
   bool m_usesSlowStart = false;
   placing::SlowStart m_slowStart;
   placing::ColdQuota m_coldQuota;
+  /// Servers that the last report called failing, in ascending order.
+  std::vector<std::uint32_t> m_reportedFailing;
   /// Buffers that are reused to avoid allocations for each new flow.
   registry::ServiceIndex::Servers m_drawn;
   std::vector<placing::Candidate> m_candidates;
