Zone balance: new flows spill over to zones with less load

Cause: another zone's servers count as 1.2 requests per slot more loaded however loaded the own zone is, so a zone whose callers send more than its servers can handle rejects requests while others have free slots. Change: placing::ZoneBalance moves shares of a service's new flows to other zones in damped steps, from the loads that placing::SharedLoad gives; token::LoadControl runs it for the services with recent traffic, and ServerSelector places within the zone that a flow's hash picks. Off, or without cause, hosts send the same bytes.

--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <cmath>
 #include <sstream>
 
 namespace wasabiloom::daemon {
@@ -103,6 +104,11 @@
   m_families->SetState("servers", aHost.GetCache().ServerCount());
   m_families->SetState("revision", aHost.Revision());
   m_families->SetState("version", aHost.GetCache().CurrentGlobal().m_version);
+  const token::ServerSelector& servers = aHost.GetServers();
+  m_families->SetState("spilled_flows", servers.SpilledCount());
+  m_families->SetState("spill_percent",
+                       static_cast<std::uint64_t>(std::lround(
+                         100 * servers.GetLoadControl().LargestSpill())));
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
                                          m_families->m_registry.Collect());
--- a/src/wasabiloom/registry/ServiceIndex.cpp
+++ b/src/wasabiloom/registry/ServiceIndex.cpp
@@ -81,6 +81,20 @@
   return all;
 }
 
+void
+ServiceIndex::ForEachZone(
+  std::string_view aService,
+  const std::function<void(const std::string&, const Servers&)>& aVisit) const
+{
+  const auto found = m_lists.find(aService);
+  if (found == m_lists.end()) {
+    return;
+  }
+  for (const auto& [zone, servers] : found->second) {
+    aVisit(zone, servers);
+  }
+}
+
 bool
 ServiceIndex::HasInZone(
   std::string_view aZone,
@@ -137,4 +151,25 @@
   });
 }
 
+void
+ServiceIndex::SampleZone(std::string_view aService,
+                         std::string_view aZone,
+                         std::size_t aCount,
+                         std::uint64_t aHash,
+                         Servers& aDrawn) const
+{
+  aDrawn.clear();
+  const auto found = m_lists.find(aService);
+  if (found == m_lists.end()) {
+    return;
+  }
+  const auto servers = found->second.find(aZone);
+  if (servers == found->second.end()) {
+    return;
+  }
+  DrawNumbers(aCount, servers->second.size(), aHash, [&](std::size_t aNumber) {
+    aDrawn.push_back(servers->second[aNumber]);
+  });
+}
+
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/registry/ServiceIndex.h
+++ b/src/wasabiloom/registry/ServiceIndex.h
@@ -44,6 +44,12 @@
   /// Returns all servers of `aService`.
   Servers All(std::string_view aService) const;
 
+  /// Calls `aVisit` with each zone that has servers of `aService`, and with its
+  /// servers.
+  void ForEachZone(std::string_view aService,
+                   const std::function<void(const std::string&,
+                                            const Servers&)>& aVisit) const;
+
   /// Whether `aAccepts` holds for any server of `aZone`.
   bool HasInZone(
     std::string_view aZone,
@@ -58,6 +64,14 @@
               std::uint64_t aHash,
               Servers& aDrawn) const;
 
+  /// Replaces the contents of `aDrawn` with up to `aCount` distinct servers of
+  /// `aService` in `aZone`; see Sample.
+  void SampleZone(std::string_view aService,
+                  std::string_view aZone,
+                  std::size_t aCount,
+                  std::uint64_t aHash,
+                  Servers& aDrawn) const;
+
 private:
   using Zones = std::map<std::string, Servers, std::less<>>;
 
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -13,7 +13,7 @@
 
 /// Key of a zone in PassiveHealthCheck, which tracks servers by token.
 std::uint32_t
-ZoneKey(const std::string& aZone)
+ZoneKey(std::string_view aZone)
 {
   return static_cast<std::uint32_t>(base::HashText(aZone));
 }
@@ -30,11 +30,13 @@
 ServerSelector::ServerSelector(std::string aOwnZone,
                                const registry::RegistryCache& aCache,
                                FlowTracker& aFlows,
-                               const placing::SharedLoad& aSharedLoad)
+                               const placing::SharedLoad& aSharedLoad,
+                               const LoadFeatures& aFeatures)
   : m_ownZone(std::move(aOwnZone))
   , m_cache(aCache)
   , m_flows(aFlows)
   , m_sharedLoad(aSharedLoad)
+  , m_loadControl(aFeatures, m_ownZone, aCache, aSharedLoad)
 {
 }
 
@@ -100,19 +102,59 @@
 bool
 ServerSelector::IsSuspect(const ServerRecord& aServer, base::Instant aNow) const
 {
-  const std::string& zone = aServer.m_server.m_zone;
-  const bool inDoubtfulZone =
-    zone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(zone), aNow);
-  return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
+  return IsZoneSuspect(aServer.m_server.m_zone, aNow) ||
+         aServer.m_presence == Presence::Lapsed ||
          m_serverHealth.IsSuspect(aServer.m_token, aNow);
 }
 
+bool
+ServerSelector::IsZoneSuspect(std::string_view aZone, base::Instant aNow) const
+{
+  return aZone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(aZone), aNow);
+}
+
+void
+ServerSelector::UpdateLoad(TokenEffects& aEffects, base::Instant aNow)
+{
+  m_loadControl.Tick(
+    [&](const ServerRecord& aServer) { return CanAcceptFlow(aServer); },
+    [&](std::string_view aZone) { return IsZoneSuspect(aZone, aNow); },
+    aEffects,
+    aNow);
+}
+
+std::optional<placing::Placement>
+ServerSelector::ChooseInZone(std::string_view aService,
+                             std::string_view aZone,
+                             std::uint32_t aAvoid,
+                             std::uint64_t aHash,
+                             base::Instant aNow)
+{
+  m_candidates.clear();
+  m_cache.ServersByService().SampleZone(
+    aService, aZone, registry::SampleSize{}.m_localZoneCount, aHash, m_drawn);
+  AddCandidates(m_drawn, aNow);
+  const auto best = placing::Place(m_candidates, aAvoid, aHash);
+  const bool isGood = best &&
+                      best->m_reason == placing::PlaceReason::LeastLoad &&
+                      best->m_token != aAvoid;
+  return isGood ? best : std::nullopt;
+}
+
 std::optional<placing::Placement>
 ServerSelector::ChooseServer(std::string_view aService,
                              std::uint32_t aAvoid,
                              std::uint64_t aHash,
                              base::Instant aNow)
 {
+  const std::string_view zone = m_loadControl.ZoneFor(aService, aHash, aNow);
+  if (!zone.empty()) {
+    if (const auto spilled =
+          ChooseInZone(aService, zone, aAvoid, aHash, aNow)) {
+      ++m_spilled;
+      return spilled;
+    }
+  }
   m_candidates.clear();
   std::optional<placing::Placement> best;
   for (std::uint64_t draw = 0; draw < kMaxSampleRounds; ++draw) {
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -8,6 +8,7 @@
 #include "wasabiloom/placing/SharedLoad.h"
 #include "wasabiloom/registry/RegistryCache.h"
 #include "wasabiloom/token/FlowTracker.h"
+#include "wasabiloom/token/LoadControl.h"
 
 #include <optional>
 #include <string>
@@ -44,7 +45,8 @@
   ServerSelector(std::string aOwnZone,
                  const registry::RegistryCache& aCache,
                  FlowTracker& aFlows,
-                 const placing::SharedLoad& aSharedLoad);
+                 const placing::SharedLoad& aSharedLoad,
+                 const LoadFeatures& aFeatures = {});
 
   /// Records that a caller retransmitted an opening packet that was sent to
   /// `aServer`.
@@ -59,8 +61,10 @@
                     base::Instant aNow);
 
   /// Selects a server for a new flow of `aService` with hash `aHash`; see
-  /// placing::Place. If the service has many servers, only random samples are
-  /// considered; all are considered before nothing is returned.
+  /// placing::Place. A flow that spills over (see LoadControl) gets a server of
+  /// that zone if a warm one that is not suspect is found there. If the service
+  /// has many servers, only random samples are considered; all are considered
+  /// before nothing is returned.
   std::optional<placing::Placement> ChooseServer(std::string_view aService,
                                                  std::uint32_t aAvoid,
                                                  std::uint64_t aHash,
@@ -82,16 +86,31 @@
   bool IsConfirmedGone(const registry::ServerRecord& aServer,
                        base::Instant aNow) const;
 
+  /// Decides anew which new flows spill over to other zones. Must be called
+  /// several times a second.
+  void UpdateLoad(TokenEffects& aEffects, base::Instant aNow);
+
+  const LoadControl& GetLoadControl() const { return m_loadControl; }
+
+  /// Number of new flows that spilled over to other zones.
+  std::uint64_t SpilledCount() const { return m_spilled; }
+
   /// Removes expired response times and health records.
   void Sweep(base::Instant aNow);
 
 private:
+  std::optional<placing::Placement> ChooseInZone(std::string_view aService,
+                                                 std::string_view aZone,
+                                                 std::uint32_t aAvoid,
+                                                 std::uint64_t aHash,
+                                                 base::Instant aNow);
   void AddCandidates(const registry::ServiceIndex::Servers& aServers,
                      base::Instant aNow);
   void RecordZoneFailure(const registry::ServerRecord& aServer,
                          base::Instant aNow);
   bool IsSuspect(const registry::ServerRecord& aServer,
                  base::Instant aNow) const;
+  bool IsZoneSuspect(std::string_view aZone, base::Instant aNow) const;
 
   std::string m_ownZone;
   const registry::RegistryCache& m_cache;
@@ -102,6 +121,8 @@
   placing::PassiveHealthCheck m_zoneHealth;
   base::Instant m_otherZoneRespondedAt;
   placing::LatencyTracker m_latencies;
+  LoadControl m_loadControl;
+  std::uint64_t m_spilled = 0;
   /// Buffers that are reused to avoid allocations for each new flow.
   registry::ServiceIndex::Servers m_drawn;
   std::vector<placing::Candidate> m_candidates;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -17,13 +17,18 @@
                      const registry::ReaderTiming& aTiming,
                      std::uint64_t aSeed,
                      const packet::TokenCodec& aCodec,
-                     TokenEffects& aEffects)
+                     TokenEffects& aEffects,
+                     const placing::SharedLoad* aSharedLoad)
   : m_identity(std::move(aIdentity))
   , m_codec(aCodec)
   , m_effects(aEffects)
   , m_log(m_totals, aEffects)
   , m_reader(aTiming, aSeed, m_cache, m_log)
-  , m_servers(m_identity.m_zone, m_cache, m_flows, m_sharedLoad)
+  , m_servers(m_identity.m_zone,
+              m_cache,
+              m_flows,
+              aSharedLoad == nullptr ? m_sharedLoad : *aSharedLoad,
+              m_identity.m_load)
 {
 }
 
@@ -377,6 +382,7 @@
   NotePause(aNow);
   m_cache.Tick(aNow);
   ReleaseHeld(aNow);
+  m_servers.UpdateLoad(m_effects, aNow);
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
     m_flows.Sweep(kFlowIdleTimeout, aNow);
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -19,19 +19,6 @@
 
 namespace wasabiloom::token {
 
-/// Decisions under load that are switched on.
-struct LoadFeatures
-{
-  /// New flows may go to other zones when the host's own zone is full.
-  bool m_zoneBalance = false;
-  /// Less urgent new flows are refused when all zones are full.
-  bool m_admission = false;
-  /// Servers that start, return or recover get a growing share of new flows.
-  bool m_slowStart = false;
-
-  friend auto operator<=>(const LoadFeatures&, const LoadFeatures&) = default;
-};
-
 /// Identity and limits of a host.
 struct TokenHostIdentity
 {
@@ -82,12 +69,14 @@
 {
 public:
   /// The references must outlive the host. `aSeed` must differ between
-  /// processes.
+  /// processes. `aSharedLoad` replaces the host's own LoadTable if it is not
+  /// null.
   TokenHost(TokenHostIdentity aIdentity,
             const registry::ReaderTiming& aTiming,
             std::uint64_t aSeed,
             const packet::TokenCodec& aCodec,
-            TokenEffects& aEffects);
+            TokenEffects& aEffects,
+            const placing::SharedLoad* aSharedLoad = nullptr);
   ~TokenHost() override;
   TokenHost(const TokenHost&) = delete;
   TokenHost& operator=(const TokenHost&) = delete;
@@ -150,6 +139,7 @@
   const Totals& GetTotals() const { return m_totals; }
   const registry::RegistryCache& GetCache() const { return m_cache; }
   std::size_t FlowCount() const { return m_flows.Size(); }
+  const ServerSelector& GetServers() const { return m_servers; }
 
 private:
   struct Held
--- a/tests/unit/ServiceIndexTests.cpp
+++ b/tests/unit/ServiceIndexTests.cpp
@@ -84,4 +84,33 @@
   EXPECT_TRUE(drawn.empty());
 }
 
+TEST(ServiceIndex, SamplesOneZoneAlone)
+{
+  ServiceIndex index;
+  std::array<ServerRecord, 6> servers;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    index.Add("desk", i < 4 ? "a" : "b", servers.at(i));
+  }
+  ServiceIndex::Servers drawn;
+  for (std::uint64_t hash = 0; hash < 50; ++hash) {
+    index.SampleZone("desk", "a", 3, hash, drawn);
+    EXPECT_EQ(std::set(drawn.begin(), drawn.end()).size(), 3U);
+    EXPECT_TRUE(std::ranges::all_of(drawn, [&](const ServerRecord* aServer) {
+      return aServer < &servers.at(4);
+    }));
+  }
+  index.SampleZone("desk", "c", 3, 0, drawn);
+  EXPECT_TRUE(drawn.empty());
+  index.SampleZone("vault", "a", 3, 0, drawn);
+  EXPECT_TRUE(drawn.empty());
+
+  std::map<std::string, std::size_t> sizes;
+  index.ForEachZone("desk",
+                    [&](const std::string& aZone, const auto& aServers) {
+                      sizes[aZone] = aServers.size();
+                    });
+  EXPECT_EQ(sizes,
+            (std::map<std::string, std::size_t>{ { "a", 4 }, { "b", 2 } }));
+}
+
 } // namespace wasabiloom::tests
