Tests: priority and kind of routes, settings of load features

Cause: decoding of Priority and Kind, their way between hosts and the four settings of load features had no tests. Change: missing, malformed and too large values, the facts codec, defaults, ranges and types of the settings. Result: the new tests pass; no fault was found.

--- a/tests/unit/FactDecoderTests.cpp
+++ b/tests/unit/FactDecoderTests.cpp
@@ -247,6 +247,59 @@
   });
 }
 
+TEST(FactDecoder, ReadsHowUrgentARouteIs)
+{
+  // Guards against a route that is not served, or is taken for urgent, because
+  // its priority or kind can't be read.
+  const auto routeOf = [](const char* aField, const json& aValue) {
+    json config = Config();
+    config["Routes"][1]["Priority"] = 1;
+    config["Routes"][1]["Kind"] = "safe";
+    if (aValue.is_discarded()) {
+      config["Routes"][1].erase(aField);
+    } else {
+      config["Routes"][1][aField] = aValue;
+    }
+    const auto fact = DecodeValue("op/config", config.dump(), 2);
+    EXPECT_TRUE(fact.m_leftOut.empty());
+    return std::get<registry::Configuration>(fact.m_content).m_routes.at(1);
+  };
+  EXPECT_EQ(routeOf("Priority", 0).m_priority, 0U);
+  EXPECT_EQ(routeOf("Priority", 7).m_priority, 7U);
+  EXPECT_EQ(routeOf("Priority", 255).m_priority, registry::kLowestPriority);
+  for (const char* kind : { "safe", "download" }) {
+    EXPECT_TRUE(routeOf("Kind", kind).m_isIdempotent) << kind;
+  }
+
+  Section("a priority that is missing, malformed or too large is the lowest",
+          [&] {
+            const std::vector<json> odd = { json(json::value_t::discarded),
+                                            nullptr,
+                                            -1,
+                                            1.5,
+                                            "1",
+                                            json::array({ 1 }),
+                                            256,
+                                            UINT64_MAX,
+                                            1e300 };
+            for (const json& priority : odd) {
+              EXPECT_EQ(routeOf("Priority", priority).m_priority,
+                        registry::kLowestPriority)
+                << priority.type_name();
+            }
+          });
+  Section(
+    "a kind that is missing, malformed or unknown is not idempotent", [&] {
+      const std::vector<json> odd = {
+        json(json::value_t::discarded), nullptr, 1, "", "Safe", "unsafe",
+        json::array({ "safe" })
+      };
+      for (const json& kind : odd) {
+        EXPECT_FALSE(routeOf("Kind", kind).m_isIdempotent) << kind.type_name();
+      }
+    });
+}
+
 TEST(FactDecoder, ReadsAZoneOutWhateverItsValue)
 {
   for (const char* value : { "{}", "", "junk" }) {
--- a/tests/unit/FactsCodecTests.cpp
+++ b/tests/unit/FactsCodecTests.cpp
@@ -53,6 +53,31 @@
   EXPECT_EQ(read, Sample());
 }
 
+TEST(FactsCodec, CarriesHowUrgentARouteIs)
+{
+  // Guards against hosts that learn a route from each other and then disagree
+  // about which flows to refuse.
+  for (const std::uint32_t priority : { 0U, 1U, 254U, 255U }) {
+    for (const bool isIdempotent : { false, true }) {
+      RegistryUpdate update = Sample();
+      registry::Route route{ "q",
+                             *base::ParseEndpoint("198.18.0.9:80"),
+                             { { "desk", 1 } },
+                             priority,
+                             isIdempotent };
+      update.m_facts = {
+        { registry::FactKind::Route, "198.18.0.9:80", 4, route },
+        ConfigurationFact(3, 4),
+      };
+      std::get<registry::Configuration>(update.m_facts[1].m_content)
+        .m_routes = { route };
+      EXPECT_EQ(ValueOf([&] { return DecodeUpdate(EncodeUpdate(update)); }),
+                update)
+        << priority << isIdempotent;
+    }
+  }
+}
+
 TEST(FactsCodec, RejectsTruncatedUpdates)
 {
   const std::string whole = EncodeUpdate(Sample());
--- a/tests/unit/TokenHostSettingsTests.cpp
+++ b/tests/unit/TokenHostSettingsTests.cpp
@@ -1,4 +1,5 @@
 #include "support/Problems.h"
+#include "support/Section.h"
 #include "wasabiloom/base/Files.h"
 #include "wasabiloom/settings/TokenHostSettings.h"
 
@@ -97,6 +98,31 @@
   EXPECT_EQ(ToString(read.m_peers.at(0)), "10.0.0.2:9");
 }
 
+TEST(TokenHostSettings, SwitchLoadFeaturesOn)
+{
+  Section("all are off by default", [] {
+    const auto read =
+      ValueOf([] { return ReadTokenHostSettings(Settings(",\"peers\":[]")); });
+    EXPECT_EQ(read.m_loadReportInterval, base::Duration::zero());
+    EXPECT_FALSE(read.m_zoneBalance);
+    EXPECT_FALSE(read.m_admission);
+    EXPECT_FALSE(read.m_slowStart);
+  });
+  Section("each has a key of its own", [] {
+    const auto readWith = [](const std::string& aMore) {
+      return ValueOf([&] {
+        return ReadTokenHostSettings(Settings(",\"peers\":[]," + aMore));
+      });
+    };
+    EXPECT_EQ(readWith("\"load_report_ms\":500").m_loadReportInterval,
+              std::chrono::milliseconds(500));
+    EXPECT_TRUE(readWith("\"zone_balance\":true").m_zoneBalance);
+    EXPECT_TRUE(readWith("\"admission\":true").m_admission);
+    EXPECT_TRUE(readWith("\"slow_start\":true").m_slowStart);
+    EXPECT_FALSE(readWith("\"zone_balance\":true").m_admission);
+  });
+}
+
 TEST(TokenHostSettings, AreRefusedWithKeyLineAndExpectation)
 {
   struct Case
@@ -121,6 +147,21 @@
     { ",\"peers\":[],\"metrics_port\":4",
       ResultCode::JsonClash,
       "different ports" },
+    { ",\"peers\":[],\"load_report_ms\":-1",
+      ResultCode::JsonOutOfRange,
+      "load_report_ms" },
+    { ",\"peers\":[],\"load_report_ms\":60001",
+      ResultCode::JsonOutOfRange,
+      "load_report_ms" },
+    { ",\"peers\":[],\"zone_balance\":1",
+      ResultCode::JsonWrongType,
+      "zone_balance" },
+    { ",\"peers\":[],\"admission\":\"yes\"",
+      ResultCode::JsonWrongType,
+      "admission" },
+    { ",\"peers\":[],\"slow_start\":null",
+      ResultCode::JsonWrongType,
+      "slow_start" },
     { ",\"peers\":[],\"log_level\":\"loud\"",
       ResultCode::JsonOutOfRange,
       "log_level" },
