Admission: less urgent new flows are refused when all zones are full

Cause: at 1.2 times the capacity servers reject urgent and ordinary requests alike, and retries add to the load. Change: placing::AdmissionControl refuses first copies of opening packets of the less urgent classes by a level that follows the load of all reachable zones in damped steps. Under pressure a part of the servers, as large as the urgent part of the admitted flows, gets no new ordinary flows. SteppedValue holds the recent changes for both modules. New reason not_admitted.

--- a/src/wasabiloom/base/Hash.h
+++ b/src/wasabiloom/base/Hash.h
@@ -22,6 +22,13 @@
   return aValue;
 }
 
+/// Maps `aHash` to [0, 1). Thread safe.
+constexpr double
+PointOf(std::uint64_t aHash)
+{
+  return static_cast<double>(aHash >> 11) * 0x1p-53;
+}
+
 /// Combines two words into one. Thread safe.
 constexpr std::uint64_t
 Combine(std::uint64_t aLeft, std::uint64_t aRight)
--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -109,6 +109,9 @@
   m_families->SetState("spill_percent",
                        static_cast<std::uint64_t>(std::lround(
                          100 * servers.GetLoadControl().LargestSpill())));
+  m_families->SetState("admission_level_percent",
+                       static_cast<std::uint64_t>(std::lround(
+                         100 * servers.GetLoadControl().HighestLevel())));
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
                                          m_families->m_registry.Collect());
--- a/src/wasabiloom/placing/ZoneBalance.cpp
+++ b/src/wasabiloom/placing/ZoneBalance.cpp
@@ -26,13 +26,6 @@
                     : std::min(0.0, aValue + kLevelTolerance);
 }
 
-/// Maps `aHash` to [0, 1).
-double
-PointOf(std::uint64_t aHash)
-{
-  return static_cast<double>(base::Combine(aHash, kZoneSalt) >> 11) * 0x1p-53;
-}
-
 } // namespace
 
 void
@@ -56,9 +49,8 @@
   std::erase_if(m_shares,
                 [](const auto& aEntry) { return !aEntry.second.m_isListed; });
   LimitTotal();
-  ++m_steps;
   for (auto& [zone, share] : m_shares) {
-    share.m_past.at(m_steps % kPastSteps) = share.m_value;
+    share.m_value.EndStep();
   }
 }
 
@@ -66,34 +58,25 @@
 ZoneBalance::StepShare(Share& aShare,
                        const ZoneState& aOwn,
                        const ZoneState& aOther,
-                       double aSlotPart) const
+                       double aSlotPart)
 {
   if (!aOther.m_isUsable || aOther.m_slots <= 0) {
-    aShare.m_value = 0;
+    aShare.m_value.Set(0);
     return;
   }
   if (!IsRecent(aOwn) || !IsRecent(aOther)) {
-    aShare.m_value = std::max(0.0, aShare.m_value - kExpiryStep);
+    aShare.m_value.Set(std::max(0.0, aShare.m_value.Get() - kExpiryStep));
     return;
   }
   const double level = std::max(aOther.m_load->m_requestsPerSlot, kWaitingLoad);
   const double excess =
     BeyondTolerance(DemandAt(aOwn.m_load->m_requestsPerSlot) - DemandAt(level));
   const base::Duration age = std::max(aOwn.m_load->m_age, aOther.m_load->m_age);
-  const double missing = excess * aSlotPart - Unseen(aShare, age);
+  const double missing = excess * aSlotPart - aShare.m_value.UnseenChange(age);
   const double step =
     std::clamp(kStepPart * missing, -kMaxShareStep, kMaxShareStep);
-  const double value = aShare.m_value * (1 - kShareDecay) + step;
-  aShare.m_value = value < kMinShare ? 0 : value;
-}
-
-double
-ZoneBalance::Unseen(const Share& aShare, base::Duration aAge) const
-{
-  const auto steps =
-    static_cast<std::size_t>((aAge + kEffectDelay) / kBalanceInterval);
-  const std::size_t back = std::min({ steps, m_steps, kPastSteps - 1 });
-  return aShare.m_value - aShare.m_past.at((m_steps - back) % kPastSteps);
+  const double value = aShare.m_value.Get() * (1 - kShareDecay) + step;
+  aShare.m_value.Set(value < kMinShare ? 0 : value);
 }
 
 void
@@ -101,13 +84,13 @@
 {
   m_total = 0;
   for (const auto& [zone, share] : m_shares) {
-    m_total += share.m_value;
+    m_total += share.m_value.Get();
   }
   if (m_total <= kMaxSpill) {
     return;
   }
   for (auto& [zone, share] : m_shares) {
-    share.m_value *= kMaxSpill / m_total;
+    share.m_value.Set(share.m_value.Get() * kMaxSpill / m_total);
   }
   m_total = kMaxSpill;
 }
@@ -118,12 +101,12 @@
   if (m_total <= 0) {
     return {};
   }
-  double point = PointOf(aHash);
+  double point = base::PointOf(base::Combine(aHash, kZoneSalt));
   for (const auto& [zone, share] : m_shares) {
-    if (point < share.m_value) {
+    if (point < share.m_value.Get()) {
       return zone;
     }
-    point -= share.m_value;
+    point -= share.m_value.Get();
   }
   return {};
 }
@@ -132,7 +115,7 @@
 ZoneBalance::ShareOf(std::string_view aZone) const
 {
   const auto known = m_shares.find(aZone);
-  return known == m_shares.end() ? 0 : known->second.m_value;
+  return known == m_shares.end() ? 0 : known->second.m_value.Get();
 }
 
 } // namespace wasabiloom::placing
--- a/src/wasabiloom/placing/ZoneBalance.h
+++ b/src/wasabiloom/placing/ZoneBalance.h
@@ -5,9 +5,8 @@
 
 #include "wasabiloom/base/Time.h"
 #include "wasabiloom/placing/SharedLoad.h"
+#include "wasabiloom/placing/SteppedValue.h"
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,9 +16,6 @@
 
 namespace wasabiloom::placing {
 
-/// Interval between two steps of the shares.
-constexpr base::Duration kBalanceInterval = std::chrono::milliseconds(200);
-
 /// Difference in demand between two zones, in multiples of a zone's capacity,
 /// that is taken for random variation and moves no load.
 constexpr double kLevelTolerance = 0.04;
@@ -41,16 +37,10 @@
 /// remains known.
 constexpr double kMaxSpill = 0.9;
 
-/// Age above which an estimate no longer counts. The shares that rest on it are
-/// then reduced by kExpiryStep in each step, and are 0 when the estimate is
-/// 2 s old.
-constexpr base::Duration kMaxEstimateAge = std::chrono::milliseconds(1250);
+/// Reduction of a share in each step whose estimates are older than
+/// kMaxEstimateAge.
 constexpr double kExpiryStep = 0.3;
 
-/// Time from the placing of a flow until the requests that it adds or takes
-/// away are fully in the load of the zones.
-constexpr base::Duration kEffectDelay = std::chrono::milliseconds(600);
-
 /// A zone that has servers of the service.
 struct ZoneState
 {
@@ -72,7 +62,7 @@
 class ZoneBalance
 {
 public:
-  /// Takes a step; call it every kBalanceInterval. `aOthers` are the other
+  /// Takes a step; call it every kLoadStepInterval. `aOthers` are the other
   /// zones, each at most once.
   void Step(const ZoneState& aOwn, std::span<const ZoneState> aOthers);
 
@@ -87,27 +77,20 @@
   double TotalShare() const { return m_total; }
 
 private:
-  /// Steps that are remembered; more than kMaxEstimateAge and kEffectDelay
-  /// take.
-  static constexpr std::size_t kPastSteps = 16;
-
   struct Share
   {
-    double m_value = 0;
-    std::array<double, kPastSteps> m_past{};
+    SteppedValue m_value;
     bool m_isListed = false;
   };
 
   /// Moves the share of `aOther`, whose slots are the part `aSlotPart` of all.
-  void StepShare(Share& aShare,
-                 const ZoneState& aOwn,
-                 const ZoneState& aOther,
-                 double aSlotPart) const;
-  double Unseen(const Share& aShare, base::Duration aAge) const;
+  static void StepShare(Share& aShare,
+                        const ZoneState& aOwn,
+                        const ZoneState& aOther,
+                        double aSlotPart);
   void LimitTotal();
 
   std::map<std::string, Share, std::less<>> m_shares;
-  std::size_t m_steps = 0;
   double m_total = 0;
 };
 
--- a/src/wasabiloom/token/Decision.cpp
+++ b/src/wasabiloom/token/Decision.cpp
@@ -10,6 +10,7 @@
   "not_learned_yet",   "no_route",         "route_dropped",
   "no_server",         "token_unknown",    "server_gone",
   "zone_out",          "hold_full",        "malformed",
+  "not_admitted",
 };
 
 constexpr std::array<std::string_view, 4> kActionNames = { "deliver",
--- a/src/wasabiloom/token/Decision.h
+++ b/src/wasabiloom/token/Decision.h
@@ -41,10 +41,12 @@
   ZoneOut,
   HoldFull,
   Malformed,
+  /// All zones are full, and the flow is less urgent than others.
+  NotAdmitted,
 };
 
 /// Number of values of Reason.
-constexpr std::size_t kReasonCount = 15;
+constexpr std::size_t kReasonCount = 16;
 
 /// Returns the name of `aAction` in logs. Thread safe.
 std::string_view
--- a/src/wasabiloom/token/LoadControl.h
+++ b/src/wasabiloom/token/LoadControl.h
@@ -2,6 +2,7 @@
 /// whose flows this host places.
 #pragma once
 
+#include "wasabiloom/placing/AdmissionControl.h"
 #include "wasabiloom/placing/SharedLoad.h"
 #include "wasabiloom/placing/ZoneBalance.h"
 #include "wasabiloom/registry/RegistryCache.h"
@@ -37,6 +38,9 @@
 /// Change of a zone's share of new flows that is logged.
 constexpr double kLoggedShareChange = 0.05;
 
+/// Change of a service's admission level that is logged.
+constexpr double kLoggedLevelChange = 0.1;
+
 /// Decides for each service with recent traffic where its new flows go. Costs
 /// nothing while all features are off. Not thread safe.
 class LoadControl
@@ -57,7 +61,21 @@
                            std::uint64_t aHash,
                            base::Instant aNow);
 
-  /// Decides anew if kBalanceInterval has passed. `aCanAccept` tells whether a
+  /// Whether a new flow of `aService` and `aClass` with hash `aHash` is
+  /// admitted. It must not have been delivered to a server before.
+  bool Admits(std::string_view aService,
+              const placing::FlowClass& aClass,
+              std::uint64_t aHash,
+              base::Instant aNow);
+
+  /// Returns what an admitted flow may claim.
+  placing::Urgency UrgencyOf(std::string_view aService,
+                             const placing::FlowClass& aClass) const;
+
+  /// Whether the server `aToken` of `aService` gets no new ordinary flows.
+  bool IsReserved(std::string_view aService, std::uint32_t aToken) const;
+
+  /// Decides anew if kLoadStepInterval has passed. `aCanAccept` tells whether a
   /// server can take new flows, `aIsSuspect` whether a zone is suspect.
   void Tick(const ServerTest& aCanAccept,
             const ZoneTest& aIsSuspect,
@@ -67,6 +85,9 @@
   /// Returns the largest share of a service's new flows that go to other zones.
   double LargestSpill() const;
 
+  /// Returns the highest admission level of a service.
+  double HighestLevel() const;
+
 private:
   struct Zone
   {
@@ -80,8 +101,12 @@
     base::Instant m_countedAt;
     std::map<std::string, Zone, std::less<>> m_zones;
     placing::ZoneBalance m_balance;
+    placing::AdmissionControl m_admission;
+    double m_loggedLevel = 0;
   };
 
+  Service& Follow(std::string_view aService, base::Instant aNow);
+  void ReadClasses();
   void CountSlots(std::string_view aName,
                   Service& aService,
                   const ServerTest& aCanAccept,
@@ -94,7 +119,14 @@
   void Step(std::string_view aName,
             Service& aService,
             const ZoneTest& aIsSuspect,
+            TokenEffects& aEffects,
             base::Instant aNow);
+  void StepAdmission(std::string_view aName,
+                     Service& aService,
+                     const placing::ZoneState& aOwn,
+                     TokenEffects& aEffects);
+  std::optional<placing::ZoneLoad> MeanLoad(
+    const placing::ZoneState& aOwn) const;
   static void LogShares(std::string_view aName,
                         Service& aService,
                         TokenEffects& aEffects);
@@ -104,6 +136,10 @@
   const registry::RegistryCache& m_cache;
   const placing::SharedLoad& m_sharedLoad;
   std::map<std::string, Service, std::less<>> m_services;
+  /// Classes of each service's routes in the version m_classesVersion,
+  /// ascending.
+  std::map<std::string, std::vector<placing::FlowClass>, std::less<>> m_classes;
+  std::uint64_t m_classesVersion = 0;
   base::Instant m_steppedAt;
   /// Buffer that is reused for each step.
   std::vector<placing::ZoneState> m_others;
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -2,6 +2,8 @@
 
 #include "wasabiloom/base/Hash.h"
 
+#include <algorithm>
+
 namespace wasabiloom::token {
 
 namespace {
@@ -128,12 +130,14 @@
                              std::string_view aZone,
                              std::uint32_t aAvoid,
                              std::uint64_t aHash,
-                             base::Instant aNow)
+                             base::Instant aNow,
+                             placing::Urgency aUrgency)
 {
   m_candidates.clear();
   m_cache.ServersByService().SampleZone(
     aService, aZone, registry::SampleSize{}.m_localZoneCount, aHash, m_drawn);
   AddCandidates(m_drawn, aNow);
+  ApplyReserve(aService, aUrgency);
   const auto best = placing::Place(m_candidates, aAvoid, aHash);
   const bool isGood = best &&
                       best->m_reason == placing::PlaceReason::LeastLoad &&
@@ -145,12 +149,13 @@
 ServerSelector::ChooseServer(std::string_view aService,
                              std::uint32_t aAvoid,
                              std::uint64_t aHash,
-                             base::Instant aNow)
+                             base::Instant aNow,
+                             placing::Urgency aUrgency)
 {
   const std::string_view zone = m_loadControl.ZoneFor(aService, aHash, aNow);
   if (!zone.empty()) {
     if (const auto spilled =
-          ChooseInZone(aService, zone, aAvoid, aHash, aNow)) {
+          ChooseInZone(aService, zone, aAvoid, aHash, aNow, aUrgency)) {
       ++m_spilled;
       return spilled;
     }
@@ -161,6 +166,7 @@
     m_cache.ServersByService().Sample(
       aService, m_ownZone, {}, base::Combine(aHash, draw), m_drawn);
     AddCandidates(m_drawn, aNow);
+    ApplyReserve(aService, aUrgency);
     best = placing::Place(m_candidates, aAvoid, aHash);
     const bool isGood = best &&
                         best->m_reason == placing::PlaceReason::LeastLoad &&
@@ -177,6 +183,30 @@
   return placing::Place(m_candidates, aAvoid, aHash);
 }
 
+void
+ServerSelector::ApplyReserve(std::string_view aService,
+                             placing::Urgency aUrgency)
+{
+  if (aUrgency == placing::Urgency::Equal) {
+    return;
+  }
+  const bool isUrgent = aUrgency == placing::Urgency::Urgent;
+  const bool hasNear = std::ranges::any_of(
+    m_candidates, [](const auto& aEach) { return aEach.m_sameZone; });
+  const auto fits = [&](const placing::Candidate& aEach) {
+    const bool isReserved = m_loadControl.IsReserved(aService, aEach.m_token);
+    const bool isIdle = !aEach.m_cold && !aEach.m_suspect &&
+                        aEach.m_sameZone == hasNear &&
+                        aEach.m_activeRequests == 0;
+    return isUrgent ? isReserved && isIdle : !isReserved;
+  };
+  const auto rest =
+    std::partition(m_candidates.begin(), m_candidates.end(), fits);
+  if (rest != m_candidates.begin()) {
+    m_candidates.erase(rest, m_candidates.end());
+  }
+}
+
 void
 ServerSelector::AddCandidates(const registry::ServiceIndex::Servers& aServers,
                               base::Instant aNow)
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -65,10 +65,13 @@
   /// that zone if a warm one that is not suspect is found there. If the service
   /// has many servers, only random samples are considered; all are considered
   /// before nothing is returned.
-  std::optional<placing::Placement> ChooseServer(std::string_view aService,
-                                                 std::uint32_t aAvoid,
-                                                 std::uint64_t aHash,
-                                                 base::Instant aNow);
+  /// `aUrgency`: whether reserved servers are preferred or avoided.
+  std::optional<placing::Placement> ChooseServer(
+    std::string_view aService,
+    std::uint32_t aAvoid,
+    std::uint64_t aHash,
+    base::Instant aNow,
+    placing::Urgency aUrgency = placing::Urgency::Equal);
 
   /// Whether `aServer` can accept new flows, regardless of health and load.
   bool CanAcceptFlow(const registry::ServerRecord& aServer) const;
@@ -90,6 +93,7 @@
   /// several times a second.
   void UpdateLoad(TokenEffects& aEffects, base::Instant aNow);
 
+  LoadControl& GetLoadControl() { return m_loadControl; }
   const LoadControl& GetLoadControl() const { return m_loadControl; }
 
   /// Number of new flows that spilled over to other zones.
@@ -103,7 +107,12 @@
                                                  std::string_view aZone,
                                                  std::uint32_t aAvoid,
                                                  std::uint64_t aHash,
-                                                 base::Instant aNow);
+                                                 base::Instant aNow,
+                                                 placing::Urgency aUrgency);
+  /// Removes candidates that a flow of `aUrgency` should not get as long as
+  /// there are others. Urgent flows get reserved servers of the nearest zone
+  /// that have no request of this host in progress.
+  void ApplyReserve(std::string_view aService, placing::Urgency aUrgency);
   void AddCandidates(const registry::ServiceIndex::Servers& aServers,
                      base::Instant aNow);
   void RecordZoneFailure(const registry::ServerRecord& aServer,
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -120,6 +120,18 @@
     Reset(aPacket, decision);
     return;
   }
+  const placing::FlowClass flowClass{ route->m_priority,
+                                      route->m_isIdempotent };
+  LoadControl& load = m_servers.GetLoadControl();
+  // A copy may follow one that another host delivered, and the server may have
+  // opened the flow.
+  const bool isNew =
+    aPacket.m_copy == 0 && m_flows.Find(aPacket.m_flow) == nullptr;
+  if (isNew && !load.Admits(decision.m_service, flowClass, hash, aNow)) {
+    decision.m_reason = Reason::NotAdmitted;
+    Reset(aPacket, decision);
+    return;
+  }
   FlowRecord* record = m_flows.FindOrAdd(aPacket.m_flow, aNow);
   std::uint32_t avoid = 0;
   if (record != nullptr && record->m_token != 0) {
@@ -141,7 +153,11 @@
     }
   }
   const auto placement =
-    m_servers.ChooseServer(decision.m_service, avoid, hash, aNow);
+    m_servers.ChooseServer(decision.m_service,
+                           avoid,
+                           hash,
+                           aNow,
+                           load.UrgencyOf(decision.m_service, flowClass));
   if (!placement) {
     decision.m_reason = Reason::NoServer;
     m_flows.Erase(aPacket.m_flow);
--- a/tests/unit/ZoneBalanceTests.cpp
+++ b/tests/unit/ZoneBalanceTests.cpp
@@ -196,7 +196,7 @@
   });
   Section("when reports stop, the share is 0 after 2 s", [&] {
     ZoneBalance other = balance;
-    for (base::Duration age = 0s; age <= 2s; age += placing::kBalanceInterval) {
+    for (base::Duration age = 0s; age <= 2s; age += placing::kLoadStepInterval) {
       Step(other, 1, Zone("a", 5, age), { Zone("b", 0, age) });
     }
     EXPECT_EQ(other.TotalShare(), 0);
