--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <cmath>
 #include <sstream>
 
 namespace wasabiloom::daemon {
@@ -142,6 +143,13 @@
   m_families->SetState("load_reports_ignored", aLoad.m_ignored);
   m_families->SetState("load_reporters", aHost.GetSharedLoad().ReporterCount());
   m_families->SetLoads(aHost, aNow);
+  m_families->SetState("spilled_flows", servers.SpilledCount());
+  m_families->SetState("spill_percent",
+                       static_cast<std::uint64_t>(std::lround(
+                         100 * servers.GetLoadControl().LargestSpill())));
+  m_families->SetState("admission_level_percent",
+                       static_cast<std::uint64_t>(std::lround(
+                         100 * servers.GetLoadControl().HighestLevel())));
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
                                          m_families->m_registry.Collect());
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -20,7 +20,7 @@
 
 /// Key of a zone in PassiveHealthCheck, which tracks servers by token.
 std::uint32_t
-ZoneKey(const std::string& aZone)
+ZoneKey(std::string_view aZone)
 {
   return static_cast<std::uint32_t>(base::HashText(aZone));
 }
@@ -37,11 +37,13 @@
 ServerSelector::ServerSelector(std::string aOwnZone,
                                const registry::RegistryCache& aCache,
                                FlowTracker& aFlows,
-                               const placing::SharedLoad& aSharedLoad)
+                               const placing::SharedLoad& aSharedLoad,
+                               const LoadFeatures& aFeatures)
   : m_ownZone(std::move(aOwnZone))
   , m_cache(aCache)
   , m_flows(aFlows)
   , m_sharedLoad(aSharedLoad)
+  , m_loadControl(aFeatures, m_ownZone, aCache, aSharedLoad)
 {
 }
 
@@ -122,10 +124,8 @@
 ServerSelector::IsSuspectHere(const ServerRecord& aServer,
                               base::Instant aNow) const
 {
-  const std::string& zone = aServer.m_server.m_zone;
-  const bool inDoubtfulZone =
-    zone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(zone), aNow);
-  return inDoubtfulZone || aServer.m_presence == Presence::Lapsed ||
+  return IsZoneSuspect(aServer.m_server.m_zone, aNow) ||
+         aServer.m_presence == Presence::Lapsed ||
          m_serverHealth.IsSuspect(aServer.m_token, aNow);
 }
 
@@ -234,18 +234,64 @@
     aCandidate.m_cold && ColdFlowsPerSecond(aServer.m_server.m_service) > 0;
 }
 
+bool
+ServerSelector::IsZoneSuspect(std::string_view aZone, base::Instant aNow) const
+{
+  return aZone != m_ownZone && m_zoneHealth.IsSuspect(ZoneKey(aZone), aNow);
+}
+
+void
+ServerSelector::UpdateLoad(TokenEffects& aEffects, base::Instant aNow)
+{
+  m_loadControl.Tick(
+    [&](const ServerRecord& aServer) { return CanAcceptFlow(aServer); },
+    [&](std::string_view aZone) { return IsZoneSuspect(aZone, aNow); },
+    aEffects,
+    aNow);
+}
+
+std::optional<placing::Placement>
+ServerSelector::ChooseInZone(std::string_view aService,
+                             std::string_view aZone,
+                             std::uint32_t aAvoid,
+                             std::uint64_t aHash,
+                             base::Instant aNow,
+                             placing::Urgency aUrgency)
+{
+  m_candidates.clear();
+  m_cache.ServersByService().SampleZone(
+    aService, aZone, registry::SampleSize{}.m_localZoneCount, aHash, m_drawn);
+  AddCandidates(m_drawn, aNow);
+  ApplyReserve(aService, aUrgency);
+  const auto best = placing::Place(m_candidates, aAvoid, aHash);
+  const bool isGood = best &&
+                      best->m_reason == placing::PlaceReason::LeastLoad &&
+                      best->m_token != aAvoid;
+  return isGood ? best : std::nullopt;
+}
+
 std::optional<placing::Placement>
 ServerSelector::ChooseServer(std::string_view aService,
                              std::uint32_t aAvoid,
                              std::uint64_t aHash,
-                             base::Instant aNow)
+                             base::Instant aNow,
+                             placing::Urgency aUrgency)
 {
+  const std::string_view zone = m_loadControl.ZoneFor(aService, aHash, aNow);
+  if (!zone.empty()) {
+    if (const auto spilled =
+          ChooseInZone(aService, zone, aAvoid, aHash, aNow, aUrgency)) {
+      ++m_spilled;
+      return spilled;
+    }
+  }
   m_candidates.clear();
   std::optional<placing::Placement> best;
   for (std::uint64_t draw = 0; draw < kMaxSampleRounds; ++draw) {
     m_cache.ServersByService().Sample(
       aService, m_ownZone, {}, base::Combine(aHash, draw), m_drawn);
     AddCandidates(m_drawn, aNow);
+    ApplyReserve(aService, aUrgency);
     best = placing::Place(m_candidates, aAvoid, aHash);
     const bool isGood = best &&
                         best->m_reason == placing::PlaceReason::LeastLoad &&
@@ -262,6 +308,30 @@
   return placing::Place(m_candidates, aAvoid, aHash);
 }
 
+void
+ServerSelector::ApplyReserve(std::string_view aService,
+                             placing::Urgency aUrgency)
+{
+  if (aUrgency == placing::Urgency::Equal) {
+    return;
+  }
+  const bool isUrgent = aUrgency == placing::Urgency::Urgent;
+  const bool hasNear = std::ranges::any_of(
+    m_candidates, [](const auto& aEach) { return aEach.m_sameZone; });
+  const auto fits = [&](const placing::Candidate& aEach) {
+    const bool isReserved = m_loadControl.IsReserved(aService, aEach.m_token);
+    const bool isIdle = !aEach.m_cold && !aEach.m_suspect &&
+                        aEach.m_sameZone == hasNear &&
+                        aEach.m_activeRequests == 0;
+    return isUrgent ? isReserved && isIdle : !isReserved;
+  };
+  const auto rest =
+    std::partition(m_candidates.begin(), m_candidates.end(), fits);
+  if (rest != m_candidates.begin()) {
+    m_candidates.erase(rest, m_candidates.end());
+  }
+}
+
 void
 ServerSelector::AddCandidates(const registry::ServiceIndex::Servers& aServers,
                               base::Instant aNow)
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -11,6 +11,7 @@
 #include "wasabiloom/placing/SlowStart.h"
 #include "wasabiloom/registry/RegistryCache.h"
 #include "wasabiloom/token/FlowTracker.h"
+#include "wasabiloom/token/LoadControl.h"
 
 #include <optional>
 #include <string>
@@ -58,7 +59,8 @@
   ServerSelector(std::string aOwnZone,
                  const registry::RegistryCache& aCache,
                  FlowTracker& aFlows,
-                 const placing::SharedLoad& aSharedLoad);
+                 const placing::SharedLoad& aSharedLoad,
+                 const LoadFeatures& aFeatures = {});
 
   /// Switches on slow start, cold quotas, shared suspicion and speeds. Call it
   /// before the first packet.
@@ -102,12 +104,17 @@
                     base::Instant aNow);
 
   /// Selects a server for a new flow of `aService` with hash `aHash`; see
-  /// placing::Place. If the service has many servers, only random samples are
-  /// considered; all are considered before nothing is returned.
-  std::optional<placing::Placement> ChooseServer(std::string_view aService,
-                                                 std::uint32_t aAvoid,
-                                                 std::uint64_t aHash,
-                                                 base::Instant aNow);
+  /// placing::Place. A flow that spills over (see LoadControl) gets a server of
+  /// that zone if a warm one that is not suspect is found there. If the service
+  /// has many servers, only random samples are considered; all are considered
+  /// before nothing is returned.
+  /// `aUrgency`: whether reserved servers are preferred or avoided.
+  std::optional<placing::Placement> ChooseServer(
+    std::string_view aService,
+    std::uint32_t aAvoid,
+    std::uint64_t aHash,
+    base::Instant aNow,
+    placing::Urgency aUrgency = placing::Urgency::Equal);
 
   /// Whether `aServer` can accept new flows, regardless of health and load.
   bool CanAcceptFlow(const registry::ServerRecord& aServer) const;
@@ -134,11 +141,30 @@
   /// Returns the slots of the warm servers that can accept new flows, by
   /// service and zone. Passes over all servers.
   placing::GroupSlots UsableSlots(base::Instant aNow) const;
+  /// Decides anew which new flows spill over to other zones. Must be called
+  /// several times a second.
+  void UpdateLoad(TokenEffects& aEffects, base::Instant aNow);
+
+  LoadControl& GetLoadControl() { return m_loadControl; }
+  const LoadControl& GetLoadControl() const { return m_loadControl; }
+
+  /// Number of new flows that spilled over to other zones.
+  std::uint64_t SpilledCount() const { return m_spilled; }
 
   /// Removes expired response times and health records.
   void Sweep(base::Instant aNow);
 
 private:
+  std::optional<placing::Placement> ChooseInZone(std::string_view aService,
+                                                 std::string_view aZone,
+                                                 std::uint32_t aAvoid,
+                                                 std::uint64_t aHash,
+                                                 base::Instant aNow,
+                                                 placing::Urgency aUrgency);
+  /// Removes candidates that a flow of `aUrgency` should not get as long as
+  /// there are others. Urgent flows get reserved servers of the nearest zone
+  /// that have no request of this host in progress.
+  void ApplyReserve(std::string_view aService, placing::Urgency aUrgency);
   void AddCandidates(const registry::ServiceIndex::Servers& aServers,
                      base::Instant aNow);
   void RecordZoneFailure(const registry::ServerRecord& aServer,
@@ -172,6 +198,9 @@
   double ColdFlowsPerSecond(std::string_view aService) const;
   std::vector<placing::GroupRequests> TakeRequests(base::Instant aNow);
   std::vector<placing::ServerSample> TakeSamples(base::Instant aNow);
+  bool IsSuspect(const registry::ServerRecord& aServer,
+                 base::Instant aNow) const;
+  bool IsZoneSuspect(std::string_view aZone, base::Instant aNow) const;
 
   std::string m_ownZone;
   const registry::RegistryCache& m_cache;
@@ -190,6 +219,8 @@
   placing::ColdQuota m_coldQuota;
   /// Servers that the last report called failing, in ascending order.
   std::vector<std::uint32_t> m_reportedFailing;
+  LoadControl m_loadControl;
+  std::uint64_t m_spilled = 0;
   /// Buffers that are reused to avoid allocations for each new flow.
   registry::ServiceIndex::Servers m_drawn;
   std::vector<placing::Candidate> m_candidates;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -17,14 +17,19 @@
                      const registry::ReaderTiming& aTiming,
                      std::uint64_t aSeed,
                      const packet::TokenCodec& aCodec,
-                     TokenEffects& aEffects)
+                     TokenEffects& aEffects,
+                     const placing::SharedLoad* aSharedLoad)
   : m_identity(std::move(aIdentity))
   , m_codec(aCodec)
   , m_effects(aEffects)
   , m_log(m_totals, aEffects)
   , m_reader(aTiming, aSeed, m_cache, m_log)
   , m_sharedLoad(m_identity.m_zone)
-  , m_servers(m_identity.m_zone, m_cache, m_flows, m_sharedLoad)
+  , m_servers(m_identity.m_zone,
+              m_cache,
+              m_flows,
+              aSharedLoad == nullptr ? m_sharedLoad : *aSharedLoad,
+              m_identity.m_load)
 {
   if (m_identity.m_load.m_slowStart) {
     m_servers.EnableSlowStart();
@@ -123,6 +128,18 @@
     Reset(aPacket, decision);
     return;
   }
+  const placing::FlowClass flowClass{ route->m_priority,
+                                      route->m_isIdempotent };
+  LoadControl& load = m_servers.GetLoadControl();
+  // A copy may follow one that another host delivered, and the server may have
+  // opened the flow.
+  const bool isNew =
+    aPacket.m_copy == 0 && m_flows.Find(aPacket.m_flow) == nullptr;
+  if (isNew && !load.Admits(decision.m_service, flowClass, hash, aNow)) {
+    decision.m_reason = Reason::NotAdmitted;
+    Reset(aPacket, decision);
+    return;
+  }
   FlowRecord* record = m_flows.FindOrAdd(aPacket.m_flow, aNow);
   std::uint32_t avoid = 0;
   if (record != nullptr && record->m_token != 0) {
@@ -149,7 +166,11 @@
     }
   }
   const auto placement =
-    m_servers.ChooseServer(decision.m_service, avoid, hash, aNow);
+    m_servers.ChooseServer(decision.m_service,
+                           avoid,
+                           hash,
+                           aNow,
+                           load.UrgencyOf(decision.m_service, flowClass));
   if (!placement) {
     decision.m_reason = Reason::NoServer;
     m_flows.Erase(aPacket.m_flow);
@@ -393,6 +414,7 @@
   ReleaseHeld(aNow);
   LogRamps();
   UpdateSharedLoad(aNow);
+  m_servers.UpdateLoad(m_effects, aNow);
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
     m_flows.Sweep(kFlowIdleTimeout, aNow);
