--- a/tests/unit/SlowStartTests.cpp
+++ b/tests/unit/SlowStartTests.cpp
@@ -742,8 +742,34 @@
   }
 }
 
-/// A server that returns at a high load, with half of the servers: callers must
-/// not wait in its queue.
+/// A server that hung must come back to its full share without a restart, and
+/// at the latest when its suspicion, which doubles, has run out.
+TEST(ServiceLoad, RampsUpAServerThatIsHeardAgain)
+{
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ServiceLoad load(Shape(true, 300), { { "a", 5 } }, seed);
+    load.RunFor(3s);
+    load.SetServer(1, ServerMode::Dark);
+    load.RunFor(3s);
+    load.SetServer(1, ServerMode::Normal);
+    load.TakeCounts();
+    load.RunFor(6s);
+    for (int server = 1; server <= 5; ++server) {
+      load.TakeServerCounts(server);
+    }
+    load.RunFor(2s);
+    int others = 0;
+    for (int server = 2; server <= 5; ++server) {
+      others += load.TakeServerCounts(server).m_openings;
+    }
+    EXPECT_GT(load.TakeServerCounts(1).m_openings * 4.0 / others, 0.75)
+      << "seed " << seed;
+    EXPECT_EQ(load.TakeCounts().m_failed, 0) << "seed " << seed;
+  }
+}
+
+/// Half of the servers return and are slow for a second: callers must not wait
+/// in their queues.
 TEST(ServiceLoad, DoesNotFloodServersThatReturnTogether)
 {
   std::map<bool, LoadCounts> counts;
