--- a/tests/unit/SlowStartTests.cpp
+++ b/tests/unit/SlowStartTests.cpp
@@ -381,8 +381,8 @@
       servers[i].m_share = 0.1;
     }
     const auto counts = Spread(servers);
-    EXPECT_NEAR(counts.at(8), 20'000 / 8 * kMaxExtraLoad, 200);
-    EXPECT_NEAR(counts.at(1), 20'000 / 8 * (2 - kMaxExtraLoad), 200);
+    EXPECT_NEAR(counts.at(8), 20'000.0 / 8 * kMaxExtraLoad, 200);
+    EXPECT_NEAR(counts.at(1), 20'000.0 / 8 * (2 - kMaxExtraLoad), 200);
   });
   Section("a server that pauses gets nearly nothing all the same", [&] {
     auto servers = Equal(2);
