Allocation test: choices with load features on

Cause: the test covered choices with all load features off only. Change: it also counts with zone balance, admission and slow start on.

--- a/bench/AllocationTest.cpp
+++ b/bench/AllocationTest.cpp
@@ -17,7 +17,7 @@
 
 /// Allocations while a server is chosen 10,000 times among 11,000.
 std::size_t
-CountForChoices()
+CountForChoices(const wasabiloom::token::LoadFeatures& aFeatures)
 {
   using namespace wasabiloom;
   constexpr std::size_t kServers = 11'000;
@@ -31,7 +31,7 @@
   }
   token::FlowTracker flows;
   const placing::LoadTable noReports;
-  token::ServerSelector watch("zone-0", beliefs, flows, noReports);
+  token::ServerSelector watch("zone-0", beliefs, flows, noReports, aFeatures);
   watch.ChooseServer("desk", 0, 1, tests::At(1));
   const std::size_t before = gAllocations;
   for (std::uint64_t flow = 0; flow < kChoices; ++flow) {
@@ -81,8 +81,9 @@
   const std::size_t made = gAllocations - before;
   std::printf(
     "allocations for %zu packets of known flows: %zu\n", packets.size(), made);
-  const std::size_t chosen = CountForChoices();
-  std::printf("allocations for 10,000 choices among 11,000 servers: %zu\n",
+  const std::size_t chosen =
+    CountForChoices({}) + CountForChoices({ true, true, true });
+  std::printf("allocations for 20,000 choices among 11,000 servers: %zu\n",
               chosen);
   return made == 0 && chosen == 0 ? 0 : 1;
 }
