Zone balance test: a loop that the linter accepts

Cause: clang-tidy can't compile std::views with this standard library. Change: std::minmax_element instead. Result: clang-tidy is clean on the changed files; ZoneBalance and AdmissionControl tests pass.

--- a/tests/unit/ZoneBalanceTests.cpp
+++ b/tests/unit/ZoneBalanceTests.cpp
@@ -7,7 +7,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <ranges>
 
 namespace wasabiloom::tests {
 
@@ -128,8 +127,11 @@
 double
 Gap(const std::map<std::string, double>& aMet)
 {
-  const auto [worst, best] = std::ranges::minmax(aMet | std::views::values);
-  return best - worst;
+  const auto [worst, best] = std::minmax_element(
+    aMet.begin(), aMet.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.second < aRight.second;
+    });
+  return best->second - worst->second;
 }
 
 } // namespace
