Server records of the registry cache in a class of their own

The records by start, token and id, the removals, presence and their forgetting are now ServerRecords; the cache keeps the history and asks it. No change of behaviour.

--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -5,74 +5,13 @@
 #include "wasabiloom/registry/Facts.h"
 #include "wasabiloom/registry/KnownHistory.h"
 #include "wasabiloom/registry/RouteTable.h"
-#include "wasabiloom/registry/ServiceIndex.h"
+#include "wasabiloom/registry/ServerRecords.h"
 
 #include <map>
 #include <optional>
-#include <set>
-#include <unordered_map>
 
 namespace wasabiloom::registry {
 
-/// State of a backend server's entry in the registry, as far as known here.
-enum class Presence : std::uint8_t
-{
-  /// The entry exists.
-  Listed,
-  /// The entry disappeared although the server had not announced that it was
-  /// draining. It may reappear within `kLapseGrace`.
-  Lapsed,
-  /// The server drained before its entry was removed, or the entry has been
-  /// missing for longer than `kLapseGrace`.
-  Gone,
-  /// A later start of the server has registered under the same id.
-  Replaced,
-};
-
-/// Returns the name of `aPresence` for logs. Thread safe.
-std::string_view
-ToString(Presence aPresence);
-
-/// The latest known state of one start of a backend server process.
-struct ServerRecord
-{
-  Server m_server;
-  /// Identifies this start in callers' packets; never 0.
-  std::uint32_t m_token = 0;
-  Presence m_presence = Presence::Listed;
-  /// When `m_presence` last changed.
-  base::Instant m_presenceSince;
-  /// When the server stops being cold.
-  base::Instant m_coldUntil;
-  /// Revision of the latest entry, or of its removal.
-  std::uint64_t m_revision = 0;
-  /// Revision of the latest change that other hosts may need to learn. An entry
-  /// that only repeats what is known raises `m_revision` alone.
-  std::uint64_t m_changeRevision = 0;
-  /// The token of this start belongs to a server with a smaller id, so this
-  /// start gets no flows.
-  bool m_tokenCollides = false;
-};
-
-/// Returns the token of the start `aBorn` of the server `aId`. It is the
-/// same on every host. Thread safe.
-std::uint32_t
-MakeToken(std::string_view aId, std::uint64_t aBorn);
-
-/// A lapsed entry that reappears within this time is listed again; after it the
-/// server counts as gone.
-constexpr base::Duration kLapseGrace = std::chrono::milliseconds(2500);
-
-/// How long the record of a gone or replaced start is kept, so that the
-/// token in packets of its remaining flows can still be resolved.
-constexpr base::Duration kForgetAfter = std::chrono::seconds(75);
-
-/// Tolerance for the end of a server's cold period. A cold server counts as
-/// cold again only when its entry moves the end back by more than this. Entries
-/// are written about once a second and read some time later, so a smaller
-/// difference is delay and no change.
-constexpr base::Duration kSameCold = std::chrono::milliseconds(1500);
-
 /// Result of applying the changes in a range of revisions.
 enum class UpdateOutcome : std::uint8_t
 {
@@ -169,16 +108,19 @@
   }
 
   /// Returns the server start with `aToken`, or null.
-  const ServerRecord* FindByToken(std::uint32_t aToken) const;
+  const ServerRecord* FindByToken(std::uint32_t aToken) const
+  {
+    return m_servers.FindByToken(aToken);
+  }
 
   /// Returns the servers of `aService` whose entries are listed or lapsed.
   ServiceIndex::Servers ServersOf(std::string_view aService) const
   {
-    return m_byService.All(aService);
+    return m_servers.ByService().All(aService);
   }
 
   /// Returns the listed and lapsed servers by service and zone, for sampling.
-  const ServiceIndex& ServersByService() const { return m_byService; }
+  const ServiceIndex& ServersByService() const { return m_servers.ByService(); }
 
   /// Returns when this host learned that `aZone` was taken out of service;
   /// empty when the zone is in service.
@@ -190,20 +132,9 @@
   std::optional<std::vector<Fact>> FactsSince(std::uint64_t aRevision,
                                               base::Instant aNow) const;
 
-  std::size_t ServerCount() const { return m_records.size(); }
+  std::size_t ServerCount() const { return m_servers.Count(); }
 
 private:
-  /// Id of a server and one of its starts.
-  using StartKey = std::pair<std::string, std::uint64_t>;
-
-  /// Removal of the entry of a server that this host did not know. Another
-  /// host may know the server, and is sent the removal.
-  struct RemovalRecord
-  {
-    std::uint64_t m_revision = 0;
-    base::Instant m_at;
-  };
-
   struct ZoneRecord
   {
     bool m_out = false;
@@ -215,43 +146,12 @@
                                  base::Instant aNow,
                                  Origin aOrigin);
   FactOutcome ApplyRoute(const Fact& aFact, base::Instant aNow);
-  FactOutcome ApplyServer(const Fact& aFact,
-                          base::Instant aNow,
-                          Origin aOrigin);
-  FactOutcome RecordRemoval(const Fact& aFact, base::Instant aNow);
-  FactOutcome ApplyEntry(const Server& aServer,
-                         std::uint64_t aRevision,
-                         ServerRecord* aKnown,
-                         base::Instant aNow,
-                         Origin aOrigin);
   FactOutcome ApplyZone(const Fact& aFact, base::Instant aNow);
-  FactOutcome RemoveServer(ServerRecord& aRecord,
-                           std::uint64_t aRevision,
-                           base::Instant aNow);
-  /// Returns the record of this start as the latest of its server.
-  ServerRecord& Add(const Server& aServer);
-  void SetPresence(ServerRecord& aRecord,
-                   Presence aPresence,
-                   base::Instant aNow);
-  void Forget(const StartKey& aStart);
-  void ForgetRemovals(base::Instant aBefore);
-  void AppendServers(std::uint64_t aRevision,
-                     base::Instant aNow,
-                     std::vector<Fact>& aFacts) const;
   void AppendZones(std::uint64_t aRevision, std::vector<Fact>& aFacts) const;
 
   RouteTable m_routes;
   KnownHistory m_history;
-  /// Owns the records; all other containers refer to them.
-  std::map<StartKey, ServerRecord> m_records;
-  /// Of several starts with the same token, that of the smallest id.
-  std::unordered_map<std::uint32_t, ServerRecord*> m_byToken;
-  /// The latest start under each id.
-  std::map<std::string, ServerRecord*, std::less<>> m_byId;
-  std::map<std::string, RemovalRecord, std::less<>> m_removals;
-  ServiceIndex m_byService;
-  /// The starts that are not listed.
-  std::set<StartKey> m_away;
+  ServerRecords m_servers;
   std::map<std::string, ZoneRecord> m_zones;
 };
 
