--- a/src/wasabiloom/daemon/FactsEndpoint.cpp
+++ b/src/wasabiloom/daemon/FactsEndpoint.cpp
@@ -10,18 +10,25 @@
 
 constexpr int kNoNews = 204;
 
-/// Returns the revision in the query of `aPath`; 0 if there is none.
+/// Returns the number after `aName` in `aPath`; 0 if there is none.
 std::uint64_t
-RevisionIn(const std::string& aPath)
+NumberAfter(std::string_view aName, std::string_view aPath)
 {
-  constexpr std::string_view kAfter = "?after=";
-  std::uint64_t after = 0;
-  const std::size_t at = aPath.find(kAfter);
-  if (at != std::string::npos) {
-    const char* first = aPath.data() + at + kAfter.size();
-    std::from_chars(first, aPath.data() + aPath.size(), after);
+  std::uint64_t number = 0;
+  const std::size_t at = aPath.find(aName);
+  if (at != std::string_view::npos) {
+    const std::string_view rest = aPath.substr(at + aName.size());
+    std::from_chars(rest.data(), rest.data() + rest.size(), number);
   }
-  return after;
+  return number;
+}
+
+/// Returns the revision in the query of `aPath`; 0 if there is none.
+registry::RegistryRevision
+RevisionIn(std::string_view aPath)
+{
+  const std::uint64_t number = NumberAfter("?after=", aPath);
+  return { number == 0 ? 0 : NumberAfter("&epoch=", aPath), number };
 }
 
 } // namespace
@@ -34,15 +41,15 @@
 HttpReply
 FactsEndpoint::Answer(const std::string& aPath, base::Instant aNow)
 {
-  const std::uint64_t after = RevisionIn(aPath);
+  const registry::RegistryRevision after = RevisionIn(aPath);
   const auto freshness = m_host.Freshness(aNow);
   if (!freshness || freshness->m_toRevision < after) {
     return { kNoNews, "text/plain", "" };
   }
   constexpr const char* kType = "application/x-protobuf";
-  if (after == 0) {
+  if (after == registry::RegistryRevision{}) {
     registry::RegistryUpdate all = *freshness;
-    all.m_fromRevision = 0;
+    all.m_fromRevision = {};
     return { 200, kType, registry::EncodeUpdate(all, PackAll(aNow)) };
   }
   return { 200,
@@ -55,7 +62,8 @@
 {
   if (m_packedRevision != m_host.Revision() ||
       aNow - m_packedAt > kPackedLife) {
-    m_packed = registry::PackFacts(m_host.UpdateSince(0, aNow)->m_facts);
+    m_packed = registry::PackFacts(m_host.UpdateSince({}, aNow)->m_facts,
+                                   m_host.Revision().m_epoch);
     m_packedRevision = m_host.Revision();
     m_packedAt = aNow;
   }
--- a/src/wasabiloom/daemon/FactsEndpoint.h
+++ b/src/wasabiloom/daemon/FactsEndpoint.h
@@ -28,7 +28,7 @@
 
   const token::TokenHost& m_host;
   std::string m_packed;
-  std::uint64_t m_packedRevision = 0;
+  registry::RegistryRevision m_packedRevision;
   base::Instant m_packedAt;
 };
 
--- a/src/wasabiloom/daemon/FleetLink.cpp
+++ b/src/wasabiloom/daemon/FleetLink.cpp
@@ -249,13 +249,15 @@
 }
 
 void
-FleetLink::Pull(base::Ipv4Address aFrom, std::uint64_t aRevision)
+FleetLink::Pull(base::Ipv4Address aFrom,
+                const registry::RegistryRevision& aRevision)
 {
   m_peerFacts.Ask({ aFrom, m_settings.m_peerPort }, aRevision);
 }
 
 void
-FleetLink::PullInitialFacts(base::Ipv4Address aFrom, std::uint64_t aRevision)
+FleetLink::PullInitialFacts(base::Ipv4Address aFrom,
+                            const registry::RegistryRevision& aRevision)
 {
   Pull(aFrom, aRevision);
 }
--- a/src/wasabiloom/daemon/FleetLink.h
+++ b/src/wasabiloom/daemon/FleetLink.h
@@ -72,11 +72,12 @@
   void OnMemberState(const fleet::Member& aMember) override;
   void SendUpdates(const std::vector<fleet::RelayCopy>& aCopies) override;
   void SendRegistrySilent(const std::vector<base::Ipv4Address>& aTo) override;
-  void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) override;
+  void Pull(base::Ipv4Address aFrom,
+            const registry::RegistryRevision& aRevision) override;
   void SendContent(base::Ipv4Address aTo,
                    const fleet::Content& aContent) override;
   void PullInitialFacts(base::Ipv4Address aFrom,
-                        std::uint64_t aRevision) override;
+                        const registry::RegistryRevision& aRevision) override;
   void SendProviders(base::Ipv4Address aTo,
                      const fleet::Providers& aProviders) override;
 
--- a/src/wasabiloom/daemon/HttpClient.cpp
+++ b/src/wasabiloom/daemon/HttpClient.cpp
@@ -2,9 +2,11 @@
 
 #include <QHostAddress>
 #include <QNetworkProxy>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <locale>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -52,8 +54,30 @@
     m_parser.body_limit(kMaxBodyBytes);
     m_parser.eager(true);
   }
+
+  /// Returns the response. Precondition: it is complete.
+  HttpAnswer Answer() const
+  {
+    const auto& message = m_parser.get();
+    HttpAnswer answer{ static_cast<int>(message.result_int()),
+                       message.body(),
+                       "" };
+    for (const auto& field : message) {
+      std::string name(field.name_string());
+      boost::algorithm::to_lower(name, std::locale::classic());
+      answer.m_headers.try_emplace(std::move(name), field.value());
+    }
+    return answer;
+  }
 };
 
+std::string_view
+HttpAnswer::Header(std::string_view aName) const
+{
+  const auto found = m_headers.find(aName);
+  return found == m_headers.end() ? std::string_view{} : found->second;
+}
+
 HttpClient::HttpClient(const base::Endpoint& aServer)
   : m_server(aServer)
 {
@@ -146,10 +170,9 @@
     }
   }
   if (m_exchange->m_parser.is_done()) {
-    const auto& message = m_exchange->m_parser.get();
-    const bool keep = message.keep_alive() && m_exchange->m_pending.empty();
-    Finish({ static_cast<int>(message.result_int()), message.body(), "" },
-           keep);
+    const bool keep =
+      m_exchange->m_parser.get().keep_alive() && m_exchange->m_pending.empty();
+    Finish(m_exchange->Answer(), keep);
   }
 }
 
@@ -164,9 +187,7 @@
   if (m_exchange->m_parser.got_some()) {
     m_exchange->m_parser.put_eof(failure);
     if (!failure && m_exchange->m_parser.is_done()) {
-      const auto& message = m_exchange->m_parser.get();
-      Finish({ static_cast<int>(message.result_int()), message.body(), "" },
-             false);
+      Finish(m_exchange->Answer(), false);
       return;
     }
   }
--- a/src/wasabiloom/daemon/HttpClient.h
+++ b/src/wasabiloom/daemon/HttpClient.h
@@ -10,8 +10,10 @@
 #include <QTimer>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace wasabiloom::daemon {
 
@@ -24,6 +26,13 @@
   std::string m_problem;
   /// Whether the response was refused as its body is longer than kMaxBodyBytes.
   bool m_isTooLarge = false;
+  /// Names in lower case and values of the response's headers. Of several with
+  /// one name, the first.
+  std::map<std::string, std::string, std::less<>> m_headers{};
+
+  /// Returns the value of the header `aName`, in lower case; empty if there is
+  /// none.
+  std::string_view Header(std::string_view aName) const;
 };
 
 /// Maximum length of an accepted body, in bytes.
--- a/src/wasabiloom/daemon/HttpServer.cpp
+++ b/src/wasabiloom/daemon/HttpServer.cpp
@@ -26,6 +26,9 @@
   response.result(static_cast<unsigned>(aReply.m_status));
   response.version(11);
   response.set(http::field::content_type, aReply.m_type);
+  for (const auto& [name, value] : aReply.m_headers) {
+    response.set(name, value);
+  }
   response.body() = aReply.m_body;
   response.keep_alive(aKeep);
   response.prepare_payload();
--- a/src/wasabiloom/daemon/HttpServer.h
+++ b/src/wasabiloom/daemon/HttpServer.h
@@ -20,6 +20,8 @@
   int m_status = 200;
   std::string m_type = "text/plain";
   std::string m_body;
+  /// Further headers by name.
+  std::map<std::string, std::string> m_headers{};
 };
 
 /// Answers GET requests, one at a time per connection. Requests with a body,
--- a/src/wasabiloom/daemon/PeerFacts.cpp
+++ b/src/wasabiloom/daemon/PeerFacts.cpp
@@ -20,7 +20,8 @@
 PeerFacts::~PeerFacts() = default;
 
 void
-PeerFacts::Ask(const base::Endpoint& aPeer, std::uint64_t aRevision)
+PeerFacts::Ask(const base::Endpoint& aPeer,
+               const registry::RegistryRevision& aRevision)
 {
   const bool isAsked = m_client != nullptr && m_peer == aPeer;
   if (isAsked) {
@@ -30,7 +31,9 @@
   m_peer = aPeer;
   m_client = std::make_unique<HttpClient>(aPeer);
   const std::string target =
-    std::string(kFactsPath) + "?after=" + std::to_string(aRevision);
+    std::string(kFactsPath) + "?after=" + std::to_string(aRevision.m_number) +
+    (aRevision.m_epoch == 0 ? ""
+                            : "&epoch=" + std::to_string(aRevision.m_epoch));
   m_client->Get(target,
                 kPeerTimeout,
                 [this, asked = m_client.get()](const HttpAnswer& aAnswer) {
--- a/src/wasabiloom/daemon/PeerFacts.h
+++ b/src/wasabiloom/daemon/PeerFacts.h
@@ -12,7 +12,8 @@
 
 namespace wasabiloom::daemon {
 
-/// Path under which a host provides its facts; `?after=REVISION` may follow.
+/// Path under which a host provides its facts; `?after=REVISION` may follow,
+/// and `&epoch=EPOCH` after that.
 constexpr const char* kFactsPath = "/facts";
 
 /// Time limit for the response of a peer.
@@ -31,7 +32,8 @@
 
   /// Requests the facts after `aRevision` from `aPeer`. Has no effect if a
   /// request to it is in progress; a request to another peer is abandoned.
-  void Ask(const base::Endpoint& aPeer, std::uint64_t aRevision);
+  void Ask(const base::Endpoint& aPeer,
+           const registry::RegistryRevision& aRevision);
 
 private:
   void OnAnswer(const HttpAnswer& aAnswer);
--- a/src/wasabiloom/daemon/TokenMetrics.cpp
+++ b/src/wasabiloom/daemon/TokenMetrics.cpp
@@ -101,7 +101,9 @@
   m_families->SetState("can_serve", aHost.CanServe() ? 1 : 0);
   m_families->SetState("flows", aHost.FlowCount());
   m_families->SetState("servers", aHost.GetCache().ServerCount());
-  m_families->SetState("revision", aHost.Revision());
+  m_families->SetState("revision", aHost.Revision().m_number);
+  m_families->SetState("registry_epoch", aHost.Revision().m_epoch);
+  m_families->SetState("kept_facts", aHost.GetCache().KeptCount());
   m_families->SetState("version", aHost.GetCache().CurrentGlobal().m_version);
   std::ostringstream text;
   prometheus::TextSerializer().Serialize(text,
--- a/src/wasabiloom/fleet/FactRelay.cpp
+++ b/src/wasabiloom/fleet/FactRelay.cpp
@@ -107,7 +107,7 @@
     return;
   }
   m_toldAt = m_facts.AnsweredAt();
-  if (m_toldLast == 0) {
+  if (m_toldLast == registry::RegistryRevision{}) {
     // Changes that precede the first answer to this host are already known to
     // the other hosts.
     m_toldLast = update->m_toRevision;
@@ -179,14 +179,14 @@
                            base::Instant aNow)
 {
   const registry::RegistryUpdate& update = aRelayed.m_update;
-  const std::uint64_t known = m_facts.Revision();
+  const registry::RegistryRevision known = m_facts.Revision();
   const Duty duty{ aRelayed.m_toZone,
                    aRelayed.m_passTo,
                    std::min(update.m_fromRevision, known) };
   switch (m_facts.OnPeerUpdate(update, aNow)) {
     case registry::UpdateOutcome::Gap:
       m_duty = duty;
-      m_outbox.Pull(aFrom, known);
+      m_outbox.Pull(aFrom, m_facts.PullFrom(aNow));
       return;
     case registry::UpdateOutcome::Applied:
       PassOn(duty, aNow);
--- a/src/wasabiloom/fleet/FactRelay.h
+++ b/src/wasabiloom/fleet/FactRelay.h
@@ -65,7 +65,8 @@
 
   /// Requests from `aFrom` everything that changed after `aRevision`.
   /// FactRelay::OnPullFinished follows when it has answered.
-  virtual void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) = 0;
+  virtual void Pull(base::Ipv4Address aFrom,
+                    const registry::RegistryRevision& aRevision) = 0;
 };
 
 /// Relays each answer of the registry to the fleet, and forwards the updates of
@@ -114,7 +115,7 @@
     bool m_toZone = false;
     std::vector<base::Ipv4Address> m_passTo;
     /// Revision up to which the receivers know all changes.
-    std::uint64_t m_from = 0;
+    registry::RegistryRevision m_from;
   };
 
   /// Number of hosts of the zone and of other zones that take over reading
@@ -138,8 +139,8 @@
   LocalFacts& m_facts;
   RelayOutbox& m_outbox;
   base::Instant m_toldAt;
-  std::uint64_t m_toldLast = 0;
-  std::uint64_t m_toldBefore = 0;
+  registry::RegistryRevision m_toldLast;
+  registry::RegistryRevision m_toldBefore;
   std::optional<Duty> m_duty;
   /// Hosts that the registry did not answer, and the time of their last report.
   std::map<base::Ipv4Address, base::Instant> m_silent;
--- a/src/wasabiloom/fleet/LocalFacts.h
+++ b/src/wasabiloom/fleet/LocalFacts.h
@@ -23,7 +23,7 @@
   /// Returns what a peer that knows all changes up to `aRevision` lacks; empty
   /// while this host knows too little itself.
   virtual std::optional<registry::RegistryUpdate> UpdateSince(
-    std::uint64_t aRevision,
+    const registry::RegistryRevision& aRevision,
     base::Instant aNow) const = 0;
 
   /// Time at which the registry last answered this host directly.
@@ -43,7 +43,15 @@
   virtual bool IsFailing() const = 0;
 
   /// Revision up to which all changes are known.
-  virtual std::uint64_t Revision() const = 0;
+  virtual registry::RegistryRevision Revision() const = 0;
+
+  /// Revision after which this host needs the changes from a peer; 0 when it
+  /// needs all facts.
+  virtual registry::RegistryRevision PullFrom(base::Instant aNow) const = 0;
+
+  /// Whether peers may keep facts that the registry lost in a restore and that
+  /// this host has not learned yet; see registry::RegistryCache.
+  virtual bool LacksKeptFacts(base::Instant aNow) const = 0;
 
   /// Sets that the host calls the registry only when its last update is older
   /// than `aMaxUpdateAge`, and, if `aStandsBy`, that it retries less often
--- a/src/wasabiloom/fleet/ProviderSearch.cpp
+++ b/src/wasabiloom/fleet/ProviderSearch.cpp
@@ -47,6 +47,7 @@
   if (m_facts.IsReady() && !aIsCutOff) {
     Finish(aNow);
     SayAgain(aNow);
+    CollectKept(aNow);
     return;
   }
   m_searching = true;
@@ -58,6 +59,18 @@
   }
 }
 
+void
+ProviderSearch::CollectKept(base::Instant aNow)
+{
+  m_collecting = m_facts.LacksKeptFacts(aNow);
+  if (m_pullingSince && aNow - *m_pullingSince > kTellerTimeout) {
+    m_pullingSince.reset();
+  }
+  if (m_collecting && !m_pullingSince && aNow - m_askedAt >= kAskPauseLate) {
+    Ask(aNow);
+  }
+}
+
 base::Duration
 ProviderSearch::AskPause(base::Instant aNow) const
 {
@@ -132,7 +145,7 @@
 void
 ProviderSearch::OnProviders(const Providers& aProviders, base::Instant aNow)
 {
-  if (!m_searching) {
+  if (!m_searching && !m_collecting) {
     return;
   }
   m_noted = true;
@@ -142,10 +155,13 @@
              !m_facts.IsReady()) {
     Hold(m_begunAt + Draw(kListLateFrom, kListLateTo));
   }
-  if (!aProviders.m_addresses.empty() && !m_pullingSince) {
+  const auto provider = std::ranges::find_if(
+    aProviders.m_addresses, [this](const base::Ipv4Address& aAddress) {
+      return aAddress != m_roster.Self().m_address;
+    });
+  if (provider != aProviders.m_addresses.end() && !m_pullingSince) {
     m_pullingSince = aNow;
-    m_outbox.PullInitialFacts(aProviders.m_addresses.front(),
-                              m_facts.Revision());
+    m_outbox.PullInitialFacts(*provider, m_facts.PullFrom(aNow));
   }
 }
 
--- a/src/wasabiloom/fleet/ProviderSearch.h
+++ b/src/wasabiloom/fleet/ProviderSearch.h
@@ -59,8 +59,9 @@
 
   /// Requests from `aFrom` all facts after `aRevision`.
   /// ProviderSearch::OnPullFailed follows when the request fails.
-  virtual void PullInitialFacts(base::Ipv4Address aFrom,
-                                std::uint64_t aRevision) = 0;
+  virtual void PullInitialFacts(
+    base::Ipv4Address aFrom,
+    const registry::RegistryRevision& aRevision) = 0;
 };
 
 /// Asks the seed hosts and some members for a provider until this host knows
@@ -94,6 +95,8 @@
 
 private:
   void Ask(base::Instant aNow);
+  /// Asks for the facts that peers keep in spite of a restored registry.
+  void CollectKept(base::Instant aNow);
   /// Defers the first listing to `aUntil`; never moves it to an earlier time.
   void Hold(base::Instant aUntil);
   base::Duration AskPause(base::Instant aNow) const;
@@ -111,6 +114,8 @@
   SearchOutbox& m_outbox;
   std::vector<base::Ipv4Address> m_first;
   bool m_searching = false;
+  /// Whether a provider is wanted although this host is ready.
+  bool m_collecting = false;
   bool m_noted = false;
   base::Instant m_begunAt;
   base::Instant m_saidAt;
--- a/src/wasabiloom/registry/Facts.h
+++ b/src/wasabiloom/registry/Facts.h
@@ -4,6 +4,7 @@
 
 #include "wasabiloom/base/Endpoint.h"
 #include "wasabiloom/base/Time.h"
+#include "wasabiloom/registry/Revision.h"
 
 #include <compare>
 #include <cstdint>
@@ -171,7 +172,7 @@
   std::string m_name;
   /// Revision of the registry at which the value changed. It increases with
   /// every change in the registry.
-  std::uint64_t m_revision = 0;
+  RegistryRevision m_revision;
   FactContent m_content;
   /// Parts of the value that can't be read and are left out of the content,
   /// each with the reason.
--- a/src/wasabiloom/registry/FactsCodec.cpp
+++ b/src/wasabiloom/registry/FactsCodec.cpp
@@ -3,6 +3,7 @@
 #include "generated/fleet.pb.h"
 #include "wasabiloom/base/Frame.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 #include <zstd.h>
@@ -216,14 +217,17 @@
 /// Returns the fact in `aFact`; one that can't be read is malformed, so that it
 /// does not hide the others.
 Fact
-Read(const wire::Fact& aFact)
+Read(const wire::Fact& aFact, std::uint64_t aEpoch)
 {
+  if (aFact.epochs_back() > aEpoch) {
+    throw std::invalid_argument("fact has no epoch");
+  }
   if (aFact.kind() >= static_cast<std::uint32_t>(FactKind::Other)) {
     return { FactKind::Other, "", 0, MalformedValue{ "unknown kind" } };
   }
   Fact fact{ static_cast<FactKind>(aFact.kind()),
              aFact.name(),
-             aFact.revision(),
+             { aEpoch - aFact.epochs_back(), aFact.revision() },
              MalformedValue{ "content does not match the kind" } };
   try {
     FactContent content = ReadContent(aFact);
@@ -265,7 +269,7 @@
 }
 
 std::vector<Fact>
-UnpackFacts(std::string_view aPacked)
+UnpackFacts(std::string_view aPacked, std::uint64_t aEpoch)
 {
   if (aPacked.empty() || aPacked.front() > kCompressed) {
     throw std::invalid_argument("facts have an unknown compression type");
@@ -282,7 +286,7 @@
   std::vector<Fact> facts;
   facts.reserve(static_cast<std::size_t>(list.facts_size()));
   for (const wire::Fact& fact : list.facts()) {
-    facts.push_back(Read(fact));
+    facts.push_back(Read(fact, aEpoch));
   }
   return facts;
 }
@@ -290,14 +294,15 @@
 } // namespace
 
 std::string
-PackFacts(const std::vector<Fact>& aFacts)
+PackFacts(const std::vector<Fact>& aFacts, std::uint64_t aEpoch)
 {
   wire::FactList list;
   for (const Fact& fact : aFacts) {
     wire::Fact& out = *list.add_facts();
     out.set_kind(static_cast<std::uint32_t>(fact.m_kind));
     out.set_name(fact.m_name);
-    out.set_revision(fact.m_revision);
+    out.set_revision(fact.m_revision.m_number);
+    out.set_epochs_back(aEpoch - std::min(fact.m_revision.m_epoch, aEpoch));
     std::visit(ContentWriter{ out }, fact.m_content);
   }
   const std::string plain = list.SerializeAsString();
@@ -314,8 +319,11 @@
 EncodeUpdate(const RegistryUpdate& aUpdate, std::string_view aPacked)
 {
   wire::News message;
-  message.set_from(aUpdate.m_fromRevision);
-  message.set_to(aUpdate.m_toRevision);
+  message.set_from(aUpdate.m_fromRevision.m_number);
+  message.set_to(aUpdate.m_toRevision.m_number);
+  message.set_epoch(aUpdate.m_toRevision.m_epoch);
+  message.set_epoch_first(aUpdate.m_epochFirst.m_number);
+  message.set_epoch_age_ns(aUpdate.m_epochAge.count());
   message.set_age_ns(aUpdate.m_age.count());
   message.set_facts(aPacked.data(), aPacked.size());
   return base::Seal(kFormat, message.SerializeAsString());
@@ -324,7 +332,8 @@
 std::string
 EncodeUpdate(const RegistryUpdate& aUpdate)
 {
-  return EncodeUpdate(aUpdate, PackFacts(aUpdate.m_facts));
+  return EncodeUpdate(aUpdate,
+                      PackFacts(aUpdate.m_facts, aUpdate.m_toRevision.m_epoch));
 }
 
 base::Result<RegistryUpdate>
@@ -336,13 +345,21 @@
     if (!message.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
       throw std::invalid_argument("registry update cannot be parsed");
     }
-    if (message.age_ns() < 0) {
+    if (message.age_ns() < 0 || message.epoch_age_ns() < 0) {
       throw std::invalid_argument("registry update has a negative age");
     }
-    return RegistryUpdate{ message.from(),
-                           message.to(),
+    const std::uint64_t epoch = message.epoch();
+    const bool isWhole = message.from() == 0;
+    const bool namesStart = message.epoch_first() > 0;
+    return RegistryUpdate{ isWhole ? RegistryRevision{}
+                                   : RegistryRevision(epoch, message.from()),
+                           { epoch, message.to() },
                            base::Duration(message.age_ns()),
-                           UnpackFacts(message.facts()) };
+                           UnpackFacts(message.facts(), epoch),
+                           namesStart
+                             ? RegistryRevision(epoch, message.epoch_first())
+                             : RegistryRevision{},
+                           base::Duration(message.epoch_age_ns()) };
   } catch (const std::exception& failure) {
     return base::Fail(base::ResultCode::PeerMessageMalformed, failure.what());
   }
--- a/src/wasabiloom/registry/FactsCodec.h
+++ b/src/wasabiloom/registry/FactsCodec.h
@@ -9,9 +9,10 @@
 
 namespace wasabiloom::registry {
 
-/// Serializes `aFacts`, compressed unless the list is short. Thread safe.
+/// Serializes `aFacts`, compressed unless the list is short, for an update of
+/// `aEpoch`; no fact is of a later epoch. Thread safe.
 std::string
-PackFacts(const std::vector<Fact>& aFacts);
+PackFacts(const std::vector<Fact>& aFacts, std::uint64_t aEpoch = 0);
 
 /// Encodes `aUpdate` with `aPacked`, the result of PackFacts, in place of its
 /// own facts. Thread safe.
--- a/src/wasabiloom/registry/KnownHistory.cpp
+++ b/src/wasabiloom/registry/KnownHistory.cpp
@@ -11,7 +11,7 @@
 }
 
 void
-KnownHistory::AddState(std::uint64_t aRevision)
+KnownHistory::AddState(const RegistryRevision& aRevision)
 {
   if (Includes(aRevision)) {
     return;
@@ -21,7 +21,7 @@
 }
 
 void
-KnownHistory::Forget(std::uint64_t aRevision)
+KnownHistory::Forget(const RegistryRevision& aRevision)
 {
   m_known.m_from = std::max(m_known.m_from, aRevision);
 }
--- a/src/wasabiloom/registry/KnownHistory.h
+++ b/src/wasabiloom/registry/KnownHistory.h
@@ -1,8 +1,9 @@
 /// The part of the registry's history that a host knows.
 #pragma once
 
+#include "wasabiloom/registry/Revision.h"
+
 #include <compare>
-#include <cstdint>
 
 namespace wasabiloom::registry {
 
@@ -10,8 +11,8 @@
 /// `m_to`.
 struct RevisionRange
 {
-  std::uint64_t m_from = 0;
-  std::uint64_t m_to = 0;
+  RegistryRevision m_from;
+  RegistryRevision m_to;
 
   friend auto operator<=>(const RevisionRange&, const RevisionRange&) = default;
 };
@@ -26,26 +27,29 @@
   bool IsEmpty() const { return m_isEmpty; }
 
   /// Revision up to which all changes are known; 0 while nothing is.
-  std::uint64_t End() const { return m_known.m_to; }
+  RegistryRevision End() const { return m_known.m_to; }
 
   /// Whether the host knows the state of the registry at `aRevision` or later:
   /// a fact of that revision is known or has been replaced since.
-  bool Includes(std::uint64_t aRevision) const
+  bool Includes(const RegistryRevision& aRevision) const
   {
     return !m_isEmpty && aRevision <= m_known.m_to;
   }
 
   /// Whether every change after `aRevision` is known, so that they can be sent
   /// to a host that knows all changes up to it.
-  bool ReachesBackTo(std::uint64_t aRevision) const
+  bool ReachesBackTo(const RegistryRevision& aRevision) const
   {
     return !m_isEmpty && aRevision >= m_known.m_from;
   }
 
-  /// Whether the changes in `aRange` follow without a gap.
+  /// Whether the changes in `aRange` follow without a gap. No range of changes
+  /// leads from one epoch of the registry to another.
   bool CanAppend(const RevisionRange& aRange) const
   {
-    return Includes(aRange.m_from);
+    return Includes(aRange.m_from) &&
+           aRange.m_from.m_epoch == m_known.m_to.m_epoch &&
+           aRange.m_from.m_epoch == aRange.m_to.m_epoch;
   }
 
   /// Adds the changes in `aRange`. Precondition: CanAppend.
@@ -53,10 +57,10 @@
 
   /// Adds the complete state at `aRevision`. If that is later than End(), the
   /// changes in between are unknown, and the range starts at `aRevision`.
-  void AddState(std::uint64_t aRevision);
+  void AddState(const RegistryRevision& aRevision);
 
   /// Notes that changes up to `aRevision` are no longer recorded.
-  void Forget(std::uint64_t aRevision);
+  void Forget(const RegistryRevision& aRevision);
 
   friend auto operator<=>(const KnownHistory&, const KnownHistory&) = default;
 
--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -42,6 +42,7 @@
     return {};
   }
   m_inCall = true;
+  m_callEpoch = KnownEpoch();
   m_hurried = false;
   m_watchedRevision.reset();
   ReaderCall call;
@@ -75,6 +76,26 @@
               aNow);
     return;
   }
+  const std::uint64_t epoch = aPage.m_revision.m_epoch;
+  if (epoch == 0 && m_callEpoch > 0) {
+    Page stamped = aPage;
+    SetEpoch(m_callEpoch, stamped);
+    OnPage(stamped, aNow);
+    return;
+  }
+  const bool isFirst = m_listing.m_after.empty();
+  const bool isLater = NoteLaterEpoch(epoch);
+  if (epoch < KnownEpoch() || (isLater && !isFirst)) {
+    // The pages of a listing are of one epoch.
+    m_listing = {};
+    m_mayBeStale = false;
+    OnFailure({ base::ResultCode::PlatformUnavailable,
+                isLater ? "epoch changed within the listing"
+                        : "page of an earlier epoch" },
+              aNow);
+    return;
+  }
+  m_cache.NoteEpoch(aPage.m_revision, aNow);
   m_inCall = false;
   m_due = aNow;
   NoteAnswer(aPage.m_revision, aNow);
@@ -108,6 +129,7 @@
 {
   // The pages of a listing are no snapshot, so the watch starts at the revision
   // of the oldest page to receive what changed while the listing ran.
+  const std::uint64_t before = Revision().m_epoch;
   m_unwatchableRevision.reset();
   m_cache.EndListing(m_listing.m_revision, m_listing.m_found, aNow);
   if (!m_mayBeStale) {
@@ -115,14 +137,34 @@
     m_learnedAt = std::max(m_learnedAt, m_listing.m_begunAt);
   }
   m_events.OnListed(m_listing.m_revision, m_listing.m_found.size());
+  NoteAdopted(before);
   m_listing = {};
 }
 
 void
 Reader::OnChanges(const Changes& aChanges, base::Instant aNow)
 {
+  const std::uint64_t epoch = aChanges.m_revision.m_epoch;
+  if (epoch == 0 && m_callEpoch > 0) {
+    Changes stamped = aChanges;
+    SetEpoch(m_callEpoch, stamped);
+    OnChanges(stamped, aNow);
+    return;
+  }
+  if (epoch < m_callEpoch) {
+    OnFailure(
+      { base::ResultCode::PlatformUnavailable, "changes of an earlier epoch" },
+      aNow);
+    return;
+  }
   m_inCall = false;
   NoteAnswer(aChanges.m_revision, aNow);
+  NoteLaterEpoch(epoch);
+  if (epoch > m_callEpoch) {
+    // The changes follow the watched number of another epoch.
+    m_due = aNow;
+    return;
+  }
   const UpdateOutcome outcome = m_cache.Learn(
     { m_watchedRevision.value_or(Revision()), aChanges.m_revision },
     aChanges.m_facts,
@@ -140,6 +182,7 @@
 Reader::OnFailure(const CallFailure& aFailure, base::Instant aNow)
 {
   m_inCall = false;
+  NoteLaterEpoch(aFailure.m_epoch);
   if (m_watchedRevision && IsAnswered(aFailure.m_code)) {
     // A watch from this revision would fail again.
     m_mayBeStale = false;
@@ -162,6 +205,8 @@
 UpdateOutcome
 Reader::OnPeerUpdate(const RegistryUpdate& aUpdate, base::Instant aNow)
 {
+  const std::uint64_t before = Revision().m_epoch;
+  m_cache.NoteEpoch(aUpdate.m_epochFirst, aNow - aUpdate.m_epochAge);
   const UpdateOutcome outcome =
     m_cache.Learn({ aUpdate.m_fromRevision, aUpdate.m_toRevision },
                   aUpdate.m_facts,
@@ -171,6 +216,7 @@
   if (outcome != UpdateOutcome::Applied) {
     return outcome;
   }
+  NoteAdopted(before);
   m_learnedAt = std::max(m_learnedAt, aNow - aUpdate.m_age);
   m_confirmed = true;
   if (aUpdate.m_age < m_maxUpdateAge) {
@@ -186,26 +232,33 @@
   if (!m_confirmed || !m_cache.IsComplete()) {
     return std::nullopt;
   }
-  return RegistryUpdate{ Revision(), Revision(), aNow - m_learnedAt, {} };
+  RegistryUpdate update{ Revision(), Revision(), aNow - m_learnedAt, {} };
+  const EpochStart& epoch = m_cache.Epoch();
+  if (Revision().m_epoch > 0 && epoch.Epoch() == Revision().m_epoch) {
+    update.m_epochFirst = epoch.First();
+    update.m_epochAge = aNow - epoch.Since();
+  }
+  return update;
 }
 
 std::optional<RegistryUpdate>
-Reader::UpdateSince(std::uint64_t aRevision, base::Instant aNow) const
+Reader::UpdateSince(const RegistryRevision& aRevision, base::Instant aNow) const
 {
   auto update = FreshnessUpdate(aNow);
   if (!update) {
     return std::nullopt;
   }
   const auto changed = m_cache.FactsSince(aRevision, aNow);
-  update->m_fromRevision = changed ? aRevision : 0;
-  update->m_facts = changed ? *changed : *m_cache.FactsSince(0, aNow);
+  update->m_fromRevision = changed ? aRevision : RegistryRevision{};
+  update->m_facts = changed ? *changed : *m_cache.FactsSince({}, aNow);
   return update;
 }
 
 bool
 Reader::NeedsListing() const
 {
-  return !m_cache.HasCompleteListing() || m_unwatchableRevision == Revision();
+  return !m_cache.HasCompleteListing() || m_unwatchableRevision == Revision() ||
+         m_answeredEpoch > Revision().m_epoch;
 }
 
 bool
@@ -225,8 +278,34 @@
   }
 }
 
+std::uint64_t
+Reader::KnownEpoch() const
+{
+  return std::max(m_answeredEpoch, Revision().m_epoch);
+}
+
+bool
+Reader::NoteLaterEpoch(std::uint64_t aEpoch)
+{
+  if (aEpoch <= KnownEpoch()) {
+    return false;
+  }
+  m_answeredEpoch = aEpoch;
+  // An old copy of the registry may still be in an earlier epoch.
+  m_mayBeStale = m_mayBeStale && !m_cache.HasCompleteListing();
+  return true;
+}
+
+void
+Reader::NoteAdopted(std::uint64_t aEpochBefore)
+{
+  if (Revision().m_epoch > aEpochBefore) {
+    m_events.OnEpoch(Revision(), m_cache.KeptCount());
+  }
+}
+
 void
-Reader::NoteAnswer(std::uint64_t aRevision, base::Instant aNow)
+Reader::NoteAnswer(const RegistryRevision& aRevision, base::Instant aNow)
 {
   m_answeredAt = aNow;
   if (m_failures > 0 || !m_reached) {
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -46,7 +46,7 @@
   /// Whether a List call may return a page that is older than the registry's
   /// current state.
   bool m_mayBeStale = false;
-  std::uint64_t m_revision = 0;
+  RegistryRevision m_revision;
   base::Duration m_wait{ 0 };
   base::Duration m_timeout{ 0 };
 };
@@ -62,13 +62,24 @@
                             base::Duration aPause) = 0;
 
   /// A call succeeded for the first time or after failures.
-  virtual void OnReachable(std::uint64_t aRevision) = 0;
+  virtual void OnReachable(const RegistryRevision& aRevision) = 0;
+
+  /// The facts known here are those of a new epoch of the registry, which was
+  /// restored; `aKept` of them are kept in spite of the restored state.
+  virtual void OnEpoch(const RegistryRevision& aRevision,
+                       std::size_t aKept) = 0;
 
   /// A listing that began at `aRevision` is complete; it returned `aFacts`
   /// facts with different names.
-  virtual void OnListed(std::uint64_t aRevision, std::size_t aFacts) = 0;
+  virtual void OnListed(const RegistryRevision& aRevision,
+                        std::size_t aFacts) = 0;
 };
 
+/// An answer of a later epoch than the known one makes the reader list again;
+/// one of an earlier epoch than was known at the call counts as a failed call.
+/// An answer that names no epoch is taken as one of the epoch known at the
+/// call.
+///
 /// Lists the registry once and then watches it for changes; lists again when
 /// the registry has dropped the history that the watch needs, or this host
 /// can't use the watch's answer, unless other hosts report later changes. Makes
@@ -102,7 +113,7 @@
   /// update holds all current facts, from revision 0 on, when the changes since
   /// `aRevision` are incomplete here. Empty until this host is confirmed and
   /// its facts are complete.
-  std::optional<RegistryUpdate> UpdateSince(std::uint64_t aRevision,
+  std::optional<RegistryUpdate> UpdateSince(const RegistryRevision& aRevision,
                                             base::Instant aNow) const;
 
   /// Returns an update without facts that tells this host's revision and the
@@ -135,7 +146,7 @@
 
   /// Returns the revision up to which all changes are known; 0 before the first
   /// listing or update.
-  std::uint64_t Revision() const { return m_cache.History().End(); }
+  RegistryRevision Revision() const { return m_cache.History().End(); }
 
   /// Returns when a call to the registry last succeeded; the epoch if never.
   base::Instant AnsweredAt() const { return m_answeredAt; }
@@ -156,14 +167,20 @@
     std::string m_after;
     /// Revision of the oldest page. Pages can be of different age, also a later
     /// page older than an earlier one.
-    std::uint64_t m_revision = 0;
+    RegistryRevision m_revision;
     FactNames m_found;
     base::Instant m_begunAt;
   };
 
+  /// Latest epoch that an answer or another host has named.
+  std::uint64_t KnownEpoch() const;
+  /// Notes the epoch of an answer. Returns whether it is later than the known
+  /// one, so that the registry must be listed from the beginning.
+  bool NoteLaterEpoch(std::uint64_t aEpoch);
+  void NoteAdopted(std::uint64_t aEpochBefore);
   void TakePage(const Page& aPage, base::Instant aNow);
   void EndListing(base::Instant aNow);
-  void NoteAnswer(std::uint64_t aRevision, base::Instant aNow);
+  void NoteAnswer(const RegistryRevision& aRevision, base::Instant aNow);
   /// Whether the registry must be listed: nothing is known yet, or the changes
   /// after the known revision can't be watched.
   bool NeedsListing() const;
@@ -182,10 +199,14 @@
   bool m_standsBy = false;
   Listing m_listing;
   /// Revision that the watch in progress was called with, if one is.
-  std::optional<std::uint64_t> m_watchedRevision;
+  std::optional<RegistryRevision> m_watchedRevision;
   /// Revision after which a watch can't be answered, or only in a way that this
   /// host can't use. A watch is possible again once a later revision is known.
-  std::optional<std::uint64_t> m_unwatchableRevision;
+  std::optional<RegistryRevision> m_unwatchableRevision;
+  /// Latest epoch that the registry's answers to this host have named.
+  std::uint64_t m_answeredEpoch = 0;
+  /// Epoch that was known when the call in progress was made.
+  std::uint64_t m_callEpoch = 0;
   std::uint32_t m_failures = 0;
   base::Instant m_due;
   base::Instant m_listNotBefore;
--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -1,5 +1,7 @@
 #include "wasabiloom/registry/RegistryCache.h"
 
+#include <algorithm>
+
 namespace wasabiloom::registry {
 
 FactEvents::~FactEvents() = default;
@@ -33,12 +35,25 @@
                      FactEvents& aEvents)
 {
   const bool isWhole = aRange.m_from == 0;
-  if (aRange.m_to < m_history.End() || aRange.m_to == 0) {
+  const bool isMerged = isWhole && aOrigin == Origin::Peer &&
+                        aRange.m_to.m_epoch >= m_epoch.Epoch();
+  if (aRange.m_to < m_history.End() || aRange.m_to.m_number == 0) {
+    if (isMerged) {
+      MergeKept(aFacts, aRange.m_to.m_epoch, aNow, aEvents);
+    }
     return UpdateOutcome::Stale;
   }
-  if (!isWhole && !m_history.CanAppend(aRange)) {
+  const bool hasOtherBase =
+    aOrigin == Origin::Peer && m_routes.IsKept(aRange.m_to.m_epoch) &&
+    std::ranges::any_of(aFacts, [](const Fact& aFact) {
+      return std::holds_alternative<GlobalConfiguration>(aFact.m_content);
+    });
+  if (!isWhole && (!m_history.CanAppend(aRange) || hasOtherBase)) {
     return UpdateOutcome::Gap;
   }
+  if (isMerged) {
+    m_mergedEpoch = aRange.m_to.m_epoch;
+  }
   FactNames found;
   for (const Fact& fact : aFacts) {
     // A change at a known revision may have been replaced since. Whole facts
@@ -90,23 +105,42 @@
 RegistryCache::ApplyZone(const Fact& aFact, base::Instant aNow)
 {
   ZoneRecord& zone = m_zones[aFact.m_name];
+  const bool isKeptByPeer =
+    aFact.m_revision.m_epoch < zone.m_revision.m_epoch && m_epoch.Keeps(aNow) &&
+    m_epoch.MayBeRestored(zone.m_revision);
+  if (isKeptByPeer) {
+    const bool isOut = !std::holds_alternative<Removed>(aFact.m_content);
+    if (isOut == zone.m_out) {
+      return FactOutcome::Unchanged;
+    }
+    zone = { isOut, aNow, aFact.m_revision, zone.m_revision };
+    return FactOutcome::Adopted;
+  }
   if (aFact.m_revision <= zone.m_revision) {
     return aFact.m_revision == zone.m_revision ? FactOutcome::Unchanged
                                                : FactOutcome::Stale;
   }
-  zone.m_revision = aFact.m_revision;
   // A zone entry with a malformed value still takes the zone out of service.
   const bool out = !std::holds_alternative<Removed>(aFact.m_content);
+  if (out != zone.m_out && Keeps(zone, aFact.m_revision, aNow)) {
+    zone.m_keptAgainst = aFact.m_revision;
+    return FactOutcome::Stale;
+  }
+  zone.m_revision = aFact.m_revision;
+  zone.m_keptAgainst.reset();
   if (out == zone.m_out) {
     return FactOutcome::Unchanged;
   }
   zone.m_out = out;
   zone.m_since = aNow;
+  if (aFact.m_revision.m_epoch < m_epoch.Epoch()) {
+    zone.m_keptAgainst = m_epoch.First();
+  }
   return FactOutcome::Adopted;
 }
 
 void
-RegistryCache::EndListing(std::uint64_t aRevision,
+RegistryCache::EndListing(const RegistryRevision& aRevision,
                           const FactNames& aFound,
                           base::Instant aNow)
 {
@@ -115,19 +149,97 @@
   }
   m_history.AddState(aRevision);
   m_servers.EndListing(aRevision, aFound, aNow);
+  EndZoneListing(aRevision, aFound, aNow);
+}
+
+void
+RegistryCache::EndZoneListing(const RegistryRevision& aRevision,
+                              const FactNames& aFound,
+                              base::Instant aNow)
+{
   for (auto& [name, zone] : m_zones) {
-    if (zone.m_out && zone.m_revision <= aRevision &&
-        !aFound.contains({ FactKind::ZoneOut, name })) {
+    const bool isFound = aFound.contains({ FactKind::ZoneOut, name });
+    const bool isOfEarlierEpoch = zone.m_revision.m_epoch < aRevision.m_epoch;
+    if (zone.m_revision > aRevision ||
+        (isFound && (!zone.m_out || !isOfEarlierEpoch))) {
+      continue;
+    }
+    // An entry of an earlier epoch was kept by another host.
+    if (!zone.m_out) {
+      zone.m_keptAgainst.reset();
+    } else if (Keeps(zone, aRevision, aNow)) {
+      zone.m_keptAgainst = aRevision;
+    } else {
       zone = { false, aNow, aRevision };
     }
   }
 }
 
+bool
+RegistryCache::Keeps(const ZoneRecord& aZone,
+                     const RegistryRevision& aRevision,
+                     base::Instant aNow) const
+{
+  const bool isOfRestoredState = m_epoch.Keeps(aNow) &&
+                                 aZone.m_revision != RegistryRevision{} &&
+                                 aZone.m_revision.m_epoch < aRevision.m_epoch &&
+                                 m_epoch.MayBeRestored(aRevision);
+  // The restored state holds every change that is older than kKeptFor. An entry
+  // for a zone that has been in service for longer is a new one.
+  return isOfRestoredState && (aZone.m_out || aNow - aZone.m_since <= kKeptFor);
+}
+
 void
+RegistryCache::MergeKept(const std::vector<Fact>& aFacts,
+                         std::uint64_t aEpoch,
+                         base::Instant aNow,
+                         FactEvents& aEvents)
+{
+  m_mergedEpoch = aEpoch;
+  for (const Fact& fact : aFacts) {
+    if (fact.m_revision.m_epoch < aEpoch) {
+      aEvents.OnFact(fact, Apply(fact, aNow, Origin::Peer), Origin::Peer);
+    }
+  }
+}
+
+std::size_t
+RegistryCache::KeptCount() const
+{
+  const auto zones = std::ranges::count_if(m_zones, [](const auto& aOne) {
+    return aOne.second.m_keptAgainst.has_value();
+  });
+  return m_servers.KeptCount() + static_cast<std::size_t>(zones);
+}
+
+RegistryRevision
+RegistryCache::PullFrom(base::Instant aNow) const
+{
+  const RegistryRevision& end = m_history.End();
+  const bool needsAll = LacksKeptFacts(aNow) || m_routes.IsKept(end.m_epoch);
+  return needsAll ? RegistryRevision{} : end;
+}
+
+std::size_t
+RegistryCache::DropKeptZones(base::Instant aNow)
+{
+  std::size_t dropped = 0;
+  for (auto& [name, zone] : m_zones) {
+    if (zone.m_keptAgainst) {
+      zone = { !zone.m_out, aNow, *zone.m_keptAgainst };
+      ++dropped;
+    }
+  }
+  return dropped;
+}
+
+std::size_t
 RegistryCache::Tick(base::Instant aNow)
 {
   m_history.Forget(m_servers.Tick(aNow));
   m_history.Forget(m_routes.Forget(aNow - kForgetAfter));
+  const bool drops = KeptCount() > 0 && !m_epoch.Keeps(aNow);
+  return drops ? m_servers.DropKept(aNow) + DropKeptZones(aNow) : 0;
 }
 
 std::optional<base::Instant>
@@ -141,7 +253,8 @@
 }
 
 std::optional<std::vector<Fact>>
-RegistryCache::FactsSince(std::uint64_t aRevision, base::Instant aNow) const
+RegistryCache::FactsSince(const RegistryRevision& aRevision,
+                          base::Instant aNow) const
 {
   const bool whole = aRevision == 0;
   if (!whole && !m_history.ReachesBackTo(aRevision)) {
@@ -162,19 +275,34 @@
 }
 
 void
-RegistryCache::AppendZones(std::uint64_t aRevision,
+RegistryCache::AppendZones(const RegistryRevision& aRevision,
                            std::vector<Fact>& aFacts) const
 {
+  const bool isWhole = aRevision == RegistryRevision{};
   for (const auto& [name, zone] : m_zones) {
-    if (zone.m_revision <= aRevision) {
-      continue;
-    }
-    if (zone.m_out) {
-      aFacts.push_back({ FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
-    } else if (aRevision != 0) {
-      aFacts.push_back({ FactKind::ZoneOut, name, zone.m_revision, Removed{} });
+    if (zone.m_revision > aRevision) {
+      AppendZone(name, zone, isWhole, aFacts);
     }
   }
 }
 
+void
+RegistryCache::AppendZone(const std::string& aName,
+                          const ZoneRecord& aZone,
+                          bool aIsWhole,
+                          std::vector<Fact>& aFacts) const
+{
+  const bool isKeptIn = aIsWhole && !aZone.m_out && aZone.m_keptAgainst;
+  if (isKeptIn) {
+    // The receiver keeps the zone in service in spite of the same entry.
+    aFacts.push_back(
+      { FactKind::ZoneOut, aName, *aZone.m_keptAgainst, ZoneOut{} });
+  }
+  if (aZone.m_out) {
+    aFacts.push_back({ FactKind::ZoneOut, aName, aZone.m_revision, ZoneOut{} });
+  } else if (!aIsWhole || isKeptIn) {
+    aFacts.push_back({ FactKind::ZoneOut, aName, aZone.m_revision, Removed{} });
+  }
+}
+
 } // namespace wasabiloom::registry
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -21,7 +21,9 @@
   /// The changes end at an older revision than is known here.
   Stale,
   /// The changes start at a newer revision than is known here, so changes in
-  /// between are missing.
+  /// between are missing; or they belong to a later epoch of the registry, or
+  /// are based on another configuration than the one in force here. All facts
+  /// are needed then, or the changes from the known revision on.
   Gap,
 };
 
@@ -40,7 +42,13 @@
 /// The registry's facts as known on this host, and the part of the registry's
 /// history that they cover. A single fact never extends that part; only
 /// complete listings and ranges of changes do. Never returns to an older
-/// revision of a fact or to an older version of the configuration. Not thread
+/// revision of a fact or to an older version of the configuration.
+///
+/// A registry that was restored from a copy begins a new epoch, in which its
+/// state lacks the last changes. For kKeptFor from then on, the zones and
+/// servers that its restored state lacks or contradicts are kept as known here.
+/// They are part of a whole state for other hosts, with the revision of the
+/// earlier epoch. What is written in the new epoch counts at once. Not thread
 /// safe: use it from one thread at a time.
 class RegistryCache
 {
@@ -68,17 +76,45 @@
                       base::Instant aNow,
                       FactEvents& aEvents);
 
+  /// Notes that the registry has reached `aRevision`, and that its epoch has
+  /// been known to a host since `aSince`. To be called before facts of a new
+  /// epoch are applied. Returns whether the epoch is new to this host.
+  bool NoteEpoch(const RegistryRevision& aRevision, base::Instant aSince)
+  {
+    return m_epoch.Note(aRevision, aSince);
+  }
+
+  /// Returns the start of the registry's epoch, as far as known here.
+  const EpochStart& Epoch() const { return m_epoch; }
+
+  /// Number of zones and servers that are kept in spite of the restored state.
+  std::size_t KeptCount() const;
+
+  /// Whether other hosts may keep facts that this host lacks: it has listed the
+  /// registry soon after a restore, and no other host has sent it all facts
+  /// since.
+  bool LacksKeptFacts(base::Instant aNow) const
+  {
+    return m_epoch.Keeps(aNow) && m_mergedEpoch < m_epoch.Epoch() &&
+           HasCompleteListing();
+  }
+
+  /// Revision after which this host needs the changes from another host; 0 when
+  /// it needs all facts.
+  RegistryRevision PullFrom(base::Instant aNow) const;
+
   /// Completes a listing that began at `aRevision` and returned the facts named
   /// in `aFound`. Servers and zone entries known at that revision that were not
   /// returned are removed. Has no effect if a later state is known meanwhile.
-  void EndListing(std::uint64_t aRevision,
+  void EndListing(const RegistryRevision& aRevision,
                   const FactNames& aFound,
                   base::Instant aNow);
 
   /// Marks entries as gone that have been missing for longer than
   /// `kLapseGrace`, and drops records of removals that are older than
-  /// `kForgetAfter`. Call it regularly.
-  void Tick(base::Instant aNow);
+  /// `kForgetAfter`. Drops what was kept in spite of a restored state after
+  /// `kKeptFor`; returns the number of facts dropped so. Call it regularly.
+  std::size_t Tick(base::Instant aNow);
 
   /// Returns the part of the registry's history that is known.
   const KnownHistory& History() const { return m_history; }
@@ -129,7 +165,7 @@
   /// Returns the facts that changed after `aRevision`, for another host to
   /// apply; with 0, all current facts. Empty when not every change after
   /// `aRevision` is known here.
-  std::optional<std::vector<Fact>> FactsSince(std::uint64_t aRevision,
+  std::optional<std::vector<Fact>> FactsSince(const RegistryRevision& aRevision,
                                               base::Instant aNow) const;
 
   std::size_t ServerCount() const { return m_servers.Count(); }
@@ -139,7 +175,9 @@
   {
     bool m_out = false;
     base::Instant m_since;
-    std::uint64_t m_revision = 0;
+    RegistryRevision m_revision;
+    /// Revision of the contrary state in spite of which this one is kept.
+    std::optional<RegistryRevision> m_keptAgainst{};
   };
 
   FactOutcome ApplyConfiguration(const Fact& aFact,
@@ -147,11 +185,33 @@
                                  Origin aOrigin);
   FactOutcome ApplyRoute(const Fact& aFact, base::Instant aNow);
   FactOutcome ApplyZone(const Fact& aFact, base::Instant aNow);
-  void AppendZones(std::uint64_t aRevision, std::vector<Fact>& aFacts) const;
-
+  /// Whether a zone remains as it is in spite of its state at `aRevision`.
+  bool Keeps(const ZoneRecord& aZone,
+             const RegistryRevision& aRevision,
+             base::Instant aNow) const;
+  void EndZoneListing(const RegistryRevision& aRevision,
+                      const FactNames& aFound,
+                      base::Instant aNow);
+  /// Applies the facts in a whole update of another host that are of earlier
+  /// epochs, although the update is not later than what is known here.
+  void MergeKept(const std::vector<Fact>& aFacts,
+                 std::uint64_t aEpoch,
+                 base::Instant aNow,
+                 FactEvents& aEvents);
+  std::size_t DropKeptZones(base::Instant aNow);
+  void AppendZone(const std::string& aName,
+                  const ZoneRecord& aZone,
+                  bool aIsWhole,
+                  std::vector<Fact>& aFacts) const;
+  void AppendZones(const RegistryRevision& aRevision,
+                   std::vector<Fact>& aFacts) const;
+
+  EpochStart m_epoch;
+  /// Latest epoch of which another host has sent all facts.
+  std::uint64_t m_mergedEpoch = 0;
   RouteTable m_routes;
   KnownHistory m_history;
-  ServerRecords m_servers;
+  ServerRecords m_servers{ m_epoch };
   std::map<std::string, ZoneRecord> m_zones;
 };
 
--- a/src/wasabiloom/registry/RegistryClient.h
+++ b/src/wasabiloom/registry/RegistryClient.h
@@ -16,16 +16,18 @@
   std::vector<Fact> m_facts;
   /// Key to pass to List for the next page; empty on the last page.
   std::string m_nextKey;
-  /// Revision of the registry at which the page was read.
-  std::uint64_t m_revision = 0;
+  /// Revision of the registry at which the page was read, with the epoch of the
+  /// answer; all facts of the page are of the same epoch.
+  RegistryRevision m_revision;
 };
 
 /// Facts that changed after the revision of a watch.
 struct Changes
 {
   std::vector<Fact> m_facts;
-  /// Revision to pass to the next Watch.
-  std::uint64_t m_revision = 0;
+  /// Revision to pass to the next Watch, with the epoch of the answer, which
+  /// the facts have too.
+  RegistryRevision m_revision;
 };
 
 /// Reason why a call failed.
@@ -35,8 +37,18 @@
   /// AnswerTooLarge.
   base::ResultCode m_code = base::ResultCode::Ok;
   std::string m_detail;
+  /// Epoch of the registry that the failed answer named; 0 if none.
+  std::uint64_t m_epoch = 0;
 };
 
+/// Sets the epoch of the page and of its facts.
+void
+SetEpoch(std::uint64_t aEpoch, Page& aPage);
+
+/// Sets the epoch of the changes and of their facts.
+void
+SetEpoch(std::uint64_t aEpoch, Changes& aChanges);
+
 /// Result of RegistryClient::List.
 using ListResult = std::variant<Page, CallFailure>;
 /// Result of RegistryClient::Watch.
@@ -58,9 +70,9 @@
                     base::Duration aTimeout,
                     std::function<void(ListResult)> aOnAnswer) = 0;
 
-  /// Reads the changes after `aRevision`, and waits up to `aWait` for the
-  /// first.
-  virtual void Watch(std::uint64_t aRevision,
+  /// Reads the changes after the number of `aRevision`, and waits up to `aWait`
+  /// for the first.
+  virtual void Watch(const RegistryRevision& aRevision,
                      base::Duration aWait,
                      base::Duration aTimeout,
                      std::function<void(WatchResult)> aOnAnswer) = 0;
--- a/src/wasabiloom/registry/RouteTable.cpp
+++ b/src/wasabiloom/registry/RouteTable.cpp
@@ -22,11 +22,14 @@
 }
 
 FactOutcome
-RouteTable::Adopt(const GlobalConfiguration& aTerms, std::uint64_t aRevision)
+RouteTable::Adopt(const GlobalConfiguration& aTerms,
+                  const RegistryRevision& aRevision)
 {
   if (aTerms.m_version < m_terms.m_version) {
+    m_isKept = m_isKept || aRevision.m_epoch > m_revision.m_epoch;
     return FactOutcome::Stale;
   }
+  m_isKept = false;
   if (aTerms.m_version == m_terms.m_version) {
     m_revision = std::max(m_revision, aRevision);
     return FactOutcome::Unchanged;
@@ -38,17 +41,24 @@
 
 FactOutcome
 RouteTable::Adopt(const Configuration& aConfiguration,
-                  std::uint64_t aRevision,
+                  const RegistryRevision& aRevision,
                   Origin aOrigin,
                   base::Instant aNow)
 {
+  // A version of an earlier epoch was kept by another host, and replaces an
+  // older one of the restored state from now on.
+  const bool isKeptByPeer = aRevision.m_epoch < m_revision.m_epoch;
+  const RegistryRevision revision = isKeptByPeer ? m_revision : aRevision;
+  const bool hasOtherBase = IsKept(aRevision.m_epoch);
   const FactOutcome outcome = Adopt({ aConfiguration.m_version,
                                       aConfiguration.m_services,
                                       aConfiguration.m_idleTimeout },
-                                    aRevision);
-  if (outcome == FactOutcome::Stale) {
+                                    revision);
+  const bool isRewritten = isKeptByPeer && outcome != FactOutcome::Adopted;
+  if (outcome == FactOutcome::Stale || isRewritten) {
     return outcome;
   }
+  m_isKept = isKeptByPeer;
   // The routes of a known version are compared too: this host may have put
   // them together from parts.
   bool hasChanged = outcome == FactOutcome::Adopted;
@@ -57,16 +67,16 @@
   for (const Route& route : aConfiguration.m_routes) {
     // The first of several routes at one address is used.
     if (named.insert(base::Pack(route.m_address)).second) {
-      hasChanged |= Apply(route, aRevision, aOrigin) == FactOutcome::Adopted;
+      hasChanged |= Apply(route, revision, aOrigin) == FactOutcome::Adopted;
     }
   }
   for (const auto& [address, entry] : m_entries) {
     if (!entry.m_removed && !named.contains(address)) {
-      hasChanged |= ApplyRemoval(entry.m_route.m_address, aRevision, aNow) ==
+      hasChanged |= ApplyRemoval(entry.m_route.m_address, revision, aNow) ==
                     FactOutcome::Adopted;
     }
   }
-  if (aOrigin != Origin::Watch) {
+  if (aOrigin != Origin::Watch || hasOtherBase) {
     m_history.AddState(m_revision);
   }
   NoteComplete();
@@ -74,7 +84,7 @@
 }
 
 FactOutcome
-RouteTable::Adopt(const Route& aRoute, std::uint64_t aRevision)
+RouteTable::Adopt(const Route& aRoute, const RegistryRevision& aRevision)
 {
   if (m_history.Includes(aRevision)) {
     return FactOutcome::Stale;
@@ -83,7 +93,9 @@
 }
 
 FactOutcome
-RouteTable::Apply(const Route& aRoute, std::uint64_t aRevision, Origin aOrigin)
+RouteTable::Apply(const Route& aRoute,
+                  const RegistryRevision& aRevision,
+                  Origin aOrigin)
 {
   const auto [slot, isNew] =
     m_entries.try_emplace(base::Pack(aRoute.m_address));
@@ -104,7 +116,7 @@
 
 FactOutcome
 RouteTable::Remove(const base::Endpoint& aAddress,
-                   std::uint64_t aRevision,
+                   const RegistryRevision& aRevision,
                    base::Instant aNow)
 {
   if (m_history.Includes(aRevision)) {
@@ -115,7 +127,7 @@
 
 FactOutcome
 RouteTable::ApplyRemoval(const base::Endpoint& aAddress,
-                         std::uint64_t aRevision,
+                         const RegistryRevision& aRevision,
                          base::Instant aNow)
 {
   // The removal of an unknown route is recorded too: an older fact with that
@@ -171,7 +183,7 @@
 }
 
 void
-RouteTable::AppendChanges(std::uint64_t aRevision,
+RouteTable::AppendChanges(const RegistryRevision& aRevision,
                           std::vector<Fact>& aFacts) const
 {
   if (m_revision <= aRevision) {
@@ -194,10 +206,10 @@
   }
 }
 
-std::uint64_t
+RegistryRevision
 RouteTable::Forget(base::Instant aBefore)
 {
-  std::uint64_t latest = 0;
+  RegistryRevision latest;
   if (m_removed == 0) {
     return latest;
   }
--- a/src/wasabiloom/registry/ServerRecords.cpp
+++ b/src/wasabiloom/registry/ServerRecords.cpp
@@ -68,9 +68,89 @@
   const auto known = m_byId.find(aFact.m_name);
   ServerRecord* belief = known == m_byId.end() ? nullptr : known->second;
   if (belief != nullptr && aFact.m_revision <= belief->m_revision) {
+    const bool isKeptByPeer =
+      aFact.m_revision.m_epoch < belief->m_revision.m_epoch &&
+      m_epoch.Keeps(aNow) && m_epoch.MayBeRestored(belief->m_revision);
+    if (isKeptByPeer) {
+      return ApplyKept(aFact, *belief, aNow);
+    }
     return aFact.m_revision == belief->m_revision ? FactOutcome::Unchanged
                                                   : FactOutcome::Stale;
   }
+  if (belief != nullptr && IsOutdated(aFact, *belief, aNow)) {
+    return Keep(aFact, *belief, aNow);
+  }
+  return ApplyCurrent(aFact, belief, aNow, aOrigin);
+}
+
+bool
+ServerRecords::IsOutdated(const Fact& aFact,
+                          const ServerRecord& aKnown,
+                          base::Instant aNow) const
+{
+  const auto* server = std::get_if<Server>(&aFact.m_content);
+  const bool isOfRestoredState =
+    server != nullptr && m_epoch.Keeps(aNow) &&
+    aKnown.m_revision.m_epoch < aFact.m_revision.m_epoch &&
+    m_epoch.MayBeRestored(aFact.m_revision);
+  if (!isOfRestoredState) {
+    return false;
+  }
+  if (server->m_startId != aKnown.m_server.m_startId) {
+    // A start that was known before has been replaced since.
+    return m_records.contains({ server->m_id, server->m_startId });
+  }
+  const bool wasDraining = aKnown.m_server.m_state == ServerState::Draining;
+  return !TakesFlows(aKnown.m_presence) ||
+         (wasDraining && server->m_state == ServerState::Ready);
+}
+
+FactOutcome
+ServerRecords::Keep(const Fact& aFact, ServerRecord& aKnown, base::Instant aNow)
+{
+  m_kept.insert_or_assign(aFact.m_name, aFact);
+  const auto& server = std::get<Server>(aFact.m_content);
+  if (server.m_startId != aKnown.m_server.m_startId &&
+      aKnown.m_presence == Presence::Listed) {
+    // The restored state lacks the entry of the later start.
+    SetPresence(aKnown, Presence::Lapsed, aNow);
+  }
+  return FactOutcome::Stale;
+}
+
+FactOutcome
+ServerRecords::ApplyKept(const Fact& aFact,
+                         ServerRecord& aKnown,
+                         base::Instant aNow)
+{
+  Server restored = aKnown.m_server;
+  restored.m_coldRemaining =
+    std::max(aKnown.m_coldUntil - aNow, base::Duration::zero());
+  const Fact entry{
+    FactKind::Server, aFact.m_name, aKnown.m_revision, restored
+  };
+  const auto* server = std::get_if<Server>(&aFact.m_content);
+  if (std::holds_alternative<Removed>(aFact.m_content)) {
+    SetPresence(aKnown, Presence::Gone, aNow);
+  } else if (server != nullptr && server->m_state == ServerState::Draining &&
+             server->m_startId == aKnown.m_server.m_startId &&
+             aKnown.m_server.m_state == ServerState::Ready) {
+    aKnown.m_server.m_state = ServerState::Draining;
+  } else {
+    return FactOutcome::Stale;
+  }
+  aKnown.m_revision = aFact.m_revision;
+  m_kept.insert_or_assign(aFact.m_name, entry);
+  return FactOutcome::Adopted;
+}
+
+FactOutcome
+ServerRecords::ApplyCurrent(const Fact& aFact,
+                            ServerRecord* aKnown,
+                            base::Instant aNow,
+                            Origin aOrigin)
+{
+  m_kept.erase(aFact.m_name);
   const auto removal = m_removals.find(aFact.m_name);
   if (removal != m_removals.end() &&
       aFact.m_revision <= removal->second.m_revision) {
@@ -78,10 +158,10 @@
   }
   if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
     m_removals.erase(aFact.m_name);
-    return ApplyEntry(*server, aFact.m_revision, belief, aNow, aOrigin);
+    return ApplyEntry(*server, aFact.m_revision, aKnown, aNow, aOrigin);
   }
-  if (belief != nullptr) {
-    return RemoveServer(*belief, aFact.m_revision, aNow);
+  if (aKnown != nullptr) {
+    return RemoveServer(*aKnown, aFact.m_revision, aNow);
   }
   return RecordRemoval(aFact, aNow);
 }
@@ -97,7 +177,7 @@
 
 FactOutcome
 ServerRecords::ApplyEntry(const Server& aServer,
-                          std::uint64_t aRevision,
+                          const RegistryRevision& aRevision,
                           ServerRecord* aKnown,
                           base::Instant aNow,
                           Origin aOrigin)
@@ -135,7 +215,7 @@
 
 FactOutcome
 ServerRecords::RemoveServer(ServerRecord& aRecord,
-                            std::uint64_t aRevision,
+                            const RegistryRevision& aRevision,
                             base::Instant aNow)
 {
   aRecord.m_revision = aRevision;
@@ -196,26 +276,60 @@
 }
 
 void
-ServerRecords::EndListing(std::uint64_t aRevision,
+ServerRecords::EndListing(const RegistryRevision& aRevision,
                           const FactNames& aFound,
                           base::Instant aNow)
 {
   for (const auto& [id, belief] : m_byId) {
     if (belief->m_revision <= aRevision &&
         !aFound.contains({ FactKind::Server, id })) {
-      RemoveServer(*belief, aRevision, aNow);
+      NoteMissing(*belief, aRevision, aNow);
     }
   }
 }
 
-std::uint64_t
+void
+ServerRecords::NoteMissing(ServerRecord& aRecord,
+                           const RegistryRevision& aRevision,
+                           base::Instant aNow)
+{
+  m_kept.erase(aRecord.m_server.m_id);
+  const bool isOfEarlierEpoch = aRecord.m_revision.m_epoch < aRevision.m_epoch;
+  if (!isOfEarlierEpoch || aRecord.m_presence != Presence::Listed) {
+    RemoveServer(aRecord, aRevision, aNow);
+    return;
+  }
+  // The restored state may lack the entry of a server that is there, a draining
+  // one too. Such a server registers again.
+  aRecord.m_revision = aRevision;
+  aRecord.m_changeRevision = aRevision;
+  SetPresence(aRecord, Presence::Lapsed, aNow);
+}
+
+std::size_t
+ServerRecords::DropKept(base::Instant aNow)
+{
+  const auto kept = std::move(m_kept);
+  m_kept.clear();
+  for (const auto& [id, fact] : kept) {
+    const auto known = m_byId.find(id);
+    ServerRecord* record = known == m_byId.end() ? nullptr : known->second;
+    if (record == nullptr || record->m_revision < fact.m_revision) {
+      ApplyCurrent(fact, record, aNow, Origin::Listing);
+    }
+  }
+  return kept.size();
+}
+
+RegistryRevision
 ServerRecords::Tick(base::Instant aNow)
 {
   std::vector<StartKey> forgotten;
   for (const StartKey& start : m_away) {
     ServerRecord& belief = m_records.at(start);
     const base::Duration age = aNow - belief.m_presenceSince;
-    if (belief.m_presence == Presence::Lapsed && age > kLapseGrace) {
+    const bool isMissing = age > kLapseGrace && !m_epoch.AwaitsServers(aNow);
+    if (belief.m_presence == Presence::Lapsed && isMissing) {
       belief.m_presence = Presence::Gone;
       belief.m_presenceSince = aNow;
       m_byService.Remove(belief);
@@ -223,17 +337,17 @@
       forgotten.push_back(start);
     }
   }
-  std::uint64_t latest = ForgetRemovals(aNow - kForgetAfter);
+  RegistryRevision latest = ForgetRemovals(aNow - kForgetAfter);
   for (const StartKey& start : forgotten) {
     latest = std::max(latest, Forget(start));
   }
   return latest;
 }
 
-std::uint64_t
+RegistryRevision
 ServerRecords::ForgetRemovals(base::Instant aBefore)
 {
-  std::uint64_t latest = 0;
+  RegistryRevision latest;
   std::erase_if(m_removals, [&](const auto& aOne) {
     const bool forget = aOne.second.m_at < aBefore;
     if (forget) {
@@ -244,11 +358,11 @@
   return latest;
 }
 
-std::uint64_t
+RegistryRevision
 ServerRecords::Forget(const StartKey& aStart)
 {
   const ServerRecord& belief = m_records.at(aStart);
-  const std::uint64_t revision = belief.m_revision;
+  const RegistryRevision revision = belief.m_revision;
   const auto latest = m_byId.find(aStart.first);
   if (latest != m_byId.end() && latest->second == &belief) {
     m_byId.erase(latest);
@@ -270,10 +384,16 @@
 }
 
 void
-ServerRecords::AppendChanges(std::uint64_t aRevision,
+ServerRecords::AppendChanges(const RegistryRevision& aRevision,
                              base::Instant aNow,
                              std::vector<Fact>& aFacts) const
 {
+  const bool isWhole = aRevision == RegistryRevision{};
+  if (isWhole) {
+    std::ranges::transform(m_kept, std::back_inserter(aFacts), [](auto& aOne) {
+      return aOne.second;
+    });
+  }
   for (const auto& [id, belief] : m_byId) {
     if (belief->m_changeRevision <= aRevision) {
       continue;
@@ -283,12 +403,12 @@
       server.m_coldRemaining =
         std::max(belief->m_coldUntil - aNow, base::Duration::zero());
       aFacts.push_back({ FactKind::Server, id, belief->m_revision, server });
-    } else if (aRevision != 0) {
+    } else if (!isWhole || m_kept.contains(id)) {
       aFacts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
     }
   }
   for (const auto& [id, removal] : m_removals) {
-    if (aRevision != 0 && removal.m_revision > aRevision) {
+    if (!isWhole && removal.m_revision > aRevision) {
       aFacts.push_back({ FactKind::Server, id, removal.m_revision, Removed{} });
     }
   }
--- a/src/wasabiloom/registry/ServerRecords.h
+++ b/src/wasabiloom/registry/ServerRecords.h
@@ -43,10 +43,10 @@
   /// When the server stops being cold.
   base::Instant m_coldUntil;
   /// Revision of the latest entry, or of its removal.
-  std::uint64_t m_revision = 0;
+  RegistryRevision m_revision;
   /// Revision of the latest change that other hosts may need to learn. An entry
   /// that only repeats what is known raises `m_revision` alone.
-  std::uint64_t m_changeRevision = 0;
+  RegistryRevision m_changeRevision;
   /// The token of this start belongs to a server with a smaller id, so this
   /// start gets no flows.
   bool m_tokenCollides = false;
@@ -72,23 +72,39 @@
 constexpr base::Duration kSameCold = std::chrono::milliseconds(1500);
 
 /// Applies the facts about backend servers. Never returns to an older revision
-/// of a server's entry. Not thread safe: use it from one thread at a time.
+/// of a server's entry. When the registry was restored, a start that was
+/// draining, gone or replaced remains so although the restored state says
+/// otherwise, until its entry is written again or the facts kept are dropped.
+/// Not thread safe: use it from one thread at a time.
 class ServerRecords
 {
 public:
+  /// `aEpoch` must outlive the records.
+  explicit ServerRecords(const EpochStart& aEpoch)
+    : m_epoch(aEpoch)
+  {
+  }
+
   /// Applies one fact of kind Server; see RegistryCache::Apply.
   FactOutcome Apply(const Fact& aFact, base::Instant aNow, Origin aOrigin);
 
   /// Removes the servers known at `aRevision` that a listing which began then
   /// did not return.
-  void EndListing(std::uint64_t aRevision,
+  void EndListing(const RegistryRevision& aRevision,
                   const FactNames& aFound,
                   base::Instant aNow);
 
   /// Marks entries as gone that have been missing for longer than
   /// `kLapseGrace`, and drops records that are older than `kForgetAfter`.
   /// Returns the latest revision of a dropped record, or 0.
-  std::uint64_t Tick(base::Instant aNow);
+  RegistryRevision Tick(base::Instant aNow);
+
+  /// Applies what the registry says in place of the facts kept in spite of it;
+  /// returns how many those were.
+  std::size_t DropKept(base::Instant aNow);
+
+  /// Number of facts kept in spite of the restored state.
+  std::size_t KeptCount() const { return m_kept.size(); }
 
   /// Returns the server start with `aToken`, or null.
   const ServerRecord* FindByToken(std::uint32_t aToken) const;
@@ -97,8 +113,9 @@
   const ServiceIndex& ByService() const { return m_byService; }
 
   /// Appends the entries and removals after `aRevision`; with 0, all current
-  /// entries.
-  void AppendChanges(std::uint64_t aRevision,
+  /// entries. Where a fact is kept, the entry of the restored state comes
+  /// before it, so that the receiver keeps the fact for the same reason.
+  void AppendChanges(const RegistryRevision& aRevision,
                      base::Instant aNow,
                      std::vector<Fact>& aFacts) const;
 
@@ -112,30 +129,53 @@
   /// host may know the server, and is sent the removal.
   struct RemovalRecord
   {
-    std::uint64_t m_revision = 0;
+    RegistryRevision m_revision;
     base::Instant m_at;
   };
 
+  FactOutcome ApplyCurrent(const Fact& aFact,
+                           ServerRecord* aKnown,
+                           base::Instant aNow,
+                           Origin aOrigin);
+  /// Whether `aFact` is an entry of the restored state that the registry has
+  /// replaced before, by what is known of `aKnown`.
+  bool IsOutdated(const Fact& aFact,
+                  const ServerRecord& aKnown,
+                  base::Instant aNow) const;
+  /// Keeps `aKnown` as it is in spite of `aFact`.
+  FactOutcome Keep(const Fact& aFact, ServerRecord& aKnown, base::Instant aNow);
+  /// Applies a fact that another host has kept in spite of the entry known
+  /// here.
+  FactOutcome ApplyKept(const Fact& aFact,
+                        ServerRecord& aKnown,
+                        base::Instant aNow);
   FactOutcome RecordRemoval(const Fact& aFact, base::Instant aNow);
   FactOutcome ApplyEntry(const Server& aServer,
-                         std::uint64_t aRevision,
+                         const RegistryRevision& aRevision,
                          ServerRecord* aKnown,
                          base::Instant aNow,
                          Origin aOrigin);
   FactOutcome RemoveServer(ServerRecord& aRecord,
-                           std::uint64_t aRevision,
+                           const RegistryRevision& aRevision,
                            base::Instant aNow);
+  /// Notes that the entry of `aRecord` is missing in a listing.
+  void NoteMissing(ServerRecord& aRecord,
+                   const RegistryRevision& aRevision,
+                   base::Instant aNow);
   /// Returns the record of this start as the latest of its server.
   ServerRecord& Add(const Server& aServer);
   void SetPresence(ServerRecord& aRecord,
                    Presence aPresence,
                    base::Instant aNow);
   /// Drops the record of a start; returns its revision.
-  std::uint64_t Forget(const StartKey& aStart);
+  RegistryRevision Forget(const StartKey& aStart);
   /// Drops removals recorded before `aBefore`; returns the latest revision
   /// among them, or 0.
-  std::uint64_t ForgetRemovals(base::Instant aBefore);
+  RegistryRevision ForgetRemovals(base::Instant aBefore);
 
+  const EpochStart& m_epoch;
+  /// Entries of the restored state in spite of which a fact is kept, by id.
+  std::map<std::string, Fact, std::less<>> m_kept;
   /// Owns the records; all other containers refer to them.
   std::map<StartKey, ServerRecord> m_records;
   /// Of several starts with the same token, that of the smallest id.
--- a/src/wasabiloom/token/RegistryEventLog.cpp
+++ b/src/wasabiloom/token/RegistryEventLog.cpp
@@ -11,7 +11,7 @@
 {
   std::string text = "kind=" + std::string(ToString(aFact.m_kind)) +
                      " name=" + (aFact.m_name.empty() ? "-" : aFact.m_name) +
-                     " revision=" + std::to_string(aFact.m_revision);
+                     " revision=" + ToString(aFact.m_revision);
   if (const auto* server = std::get_if<registry::Server>(&aFact.m_content)) {
     text +=
       " service=" + server->m_service +
@@ -148,17 +148,28 @@
 }
 
 void
-RegistryEventLog::OnReachable(std::uint64_t aRevision)
+RegistryEventLog::OnReachable(const registry::RegistryRevision& aRevision)
 {
   m_effects.LogStateChange("registry_reachable",
-                           "revision=" + std::to_string(aRevision));
+                           "revision=" + ToString(aRevision));
 }
 
 void
-RegistryEventLog::OnListed(std::uint64_t aRevision, std::size_t aFacts)
+RegistryEventLog::OnEpoch(const registry::RegistryRevision& aRevision,
+                          std::size_t aKept)
+{
+  m_effects.LogStateChange("registry_epoch",
+                           "epoch=" + std::to_string(aRevision.m_epoch) +
+                             " revision=" + std::to_string(aRevision.m_number) +
+                             " kept=" + std::to_string(aKept));
+}
+
+void
+RegistryEventLog::OnListed(const registry::RegistryRevision& aRevision,
+                           std::size_t aFacts)
 {
   m_effects.LogStateChange("registry_listed",
-                           "revision=" + std::to_string(aRevision) + " facts=" +
+                           "revision=" + ToString(aRevision) + " facts=" +
                              std::to_string(aFacts) + TakeSummary());
 }
 
--- a/src/wasabiloom/token/RegistryEventLog.h
+++ b/src/wasabiloom/token/RegistryEventLog.h
@@ -25,8 +25,11 @@
   void OnCallFailed(const registry::CallFailure& aFailure,
                     std::uint32_t aFailures,
                     base::Duration aPause) override;
-  void OnReachable(std::uint64_t aRevision) override;
-  void OnListed(std::uint64_t aRevision, std::size_t aFacts) override;
+  void OnReachable(const registry::RegistryRevision& aRevision) override;
+  void OnEpoch(const registry::RegistryRevision& aRevision,
+               std::size_t aKept) override;
+  void OnListed(const registry::RegistryRevision& aRevision,
+                std::size_t aFacts) override;
 
   /// Returns the number of facts adopted and not adopted since the last call,
   /// with the names of the first adopted ones, as key=value fields that each
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -274,7 +274,7 @@
   decision.m_token = aPacket.m_token;
   decision.m_copy = aPacket.m_copy;
   decision.m_version = m_cache.CurrentGlobal().m_version;
-  decision.m_revision = m_reader.Revision();
+  decision.m_revision = m_reader.Revision().m_number;
   const bool hasLearned = m_reader.LearnedAt() != base::Instant{};
   decision.m_age =
     hasLearned ? aNow - m_reader.LearnedAt() : base::Duration::zero();
@@ -339,13 +339,13 @@
 TokenHost::OnPeerUpdate(const registry::RegistryUpdate& aUpdate,
                         base::Instant aNow)
 {
-  const std::uint64_t before = m_reader.Revision();
+  const registry::RegistryRevision before = m_reader.Revision();
   const registry::UpdateOutcome outcome = m_reader.OnPeerUpdate(aUpdate, aNow);
   if (m_reader.Revision() > before) {
     m_effects.LogStateChange(
       "learned_from_peer",
-      "revision=" + std::to_string(aUpdate.m_toRevision) +
-        " before=" + std::to_string(before) +
+      "revision=" + ToString(aUpdate.m_toRevision) +
+        " before=" + ToString(before) +
         " age_ms=" + std::to_string(base::Milliseconds(aUpdate.m_age)) +
         m_log.TakeSummary());
   }
@@ -354,7 +354,8 @@
 }
 
 std::optional<registry::RegistryUpdate>
-TokenHost::UpdateSince(std::uint64_t aRevision, base::Instant aNow) const
+TokenHost::UpdateSince(const registry::RegistryRevision& aRevision,
+                       base::Instant aNow) const
 {
   return m_reader.UpdateSince(aRevision, aNow);
 }
@@ -375,7 +376,13 @@
 TokenHost::OnTick(base::Instant aNow)
 {
   NotePause(aNow);
-  m_cache.Tick(aNow);
+  const std::size_t dropped = m_cache.Tick(aNow);
+  if (dropped > 0) {
+    m_effects.LogStateChange(
+      "kept_facts_dropped",
+      "epoch=" + std::to_string(m_cache.Epoch().Epoch()) +
+        " count=" + std::to_string(dropped));
+  }
   ReleaseHeld(aNow);
   if (aNow - m_sweptAt > kSweepInterval) {
     m_sweptAt = aNow;
--- a/src/wasabiloom/token/TokenHost.h
+++ b/src/wasabiloom/token/TokenHost.h
@@ -103,7 +103,7 @@
   registry::UpdateOutcome OnPeerUpdate(const registry::RegistryUpdate& aUpdate,
                                        base::Instant aNow) override;
   std::optional<registry::RegistryUpdate> UpdateSince(
-    std::uint64_t aRevision,
+    const registry::RegistryRevision& aRevision,
     base::Instant aNow) const override;
   /// See Reader::FreshnessUpdate.
   std::optional<registry::RegistryUpdate> Freshness(base::Instant aNow) const
@@ -112,7 +112,18 @@
   }
   base::Instant AnsweredAt() const override { return m_reader.AnsweredAt(); }
   base::Instant LearnedAt() const override { return m_reader.LearnedAt(); }
-  std::uint64_t Revision() const override { return m_reader.Revision(); }
+  registry::RegistryRevision Revision() const override
+  {
+    return m_reader.Revision();
+  }
+  registry::RegistryRevision PullFrom(base::Instant aNow) const override
+  {
+    return m_cache.PullFrom(aNow);
+  }
+  bool LacksKeptFacts(base::Instant aNow) const override
+  {
+    return m_cache.LacksKeptFacts(aNow);
+  }
   void SetMaxUpdateAge(base::Duration aMaxUpdateAge, bool aStandsBy) override;
   bool HasListed() const override { return m_cache.HasCompleteListing(); }
   bool IsFailing() const override { return m_reader.IsFailing(); }
--- a/standins/Store.cpp
+++ b/standins/Store.cpp
@@ -1,7 +1,9 @@
 /// Stand-in for the users' store: serves the files of a folder as items, read
 /// and watch only, over HTTP. A file's path below the folder is its key. The
 /// file `.faults` in that folder makes it misbehave: `down` answers 503,
-/// `silent` never answers, `forget` drops the history once.
+/// `silent` never answers, `forget` drops the history once, `restore` returns
+/// once to the state of some seconds ago: revisions go back and the header
+/// `Store-Era` of all answers rises by one.
 
 #include "Support.h"
 
@@ -14,6 +16,7 @@
 #include <QUrlQuery>
 #include <nlohmann/json.hpp>
 
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -33,6 +36,13 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kPageItems = 50;
 
+/// Age of the state that a restore returns to, in polls; 3 s.
+constexpr std::size_t kCopyAgePolls = 150;
+
+/// Time after a restore until the values of the folder are written again, in
+/// polls; 2 s.
+constexpr std::size_t kRewritePolls = 100;
+
 std::string
 ReadWhole(const std::filesystem::path& aPath)
 {
@@ -68,12 +78,28 @@
       m_historyFrom = m_revision;
     }
     m_hasForgotten = faults.starts_with("forget");
-    Compare(ReadFolder());
+    const bool restores = faults.starts_with("restore");
+    if (restores && !m_hasRestored) {
+      Restore();
+    }
+    m_hasRestored = restores;
+    if (m_restoredPolls > 0) {
+      --m_restoredPolls;
+    } else {
+      Compare(ReadFolder());
+    }
+    NoteCopy();
     AnswerWatches();
   }
 
-  void Answer(const std::string& aTarget, const HttpServer::Responder& aReply)
+  void Answer(const std::string& aTarget, const HttpServer::Responder& aSend)
   {
+    const HttpServer::Responder aReply = [this, aSend](HttpReply aAnswer) {
+      if (m_era > 0) {
+        aAnswer.m_headers["Store-Era"] = std::to_string(m_era);
+      }
+      aSend(aAnswer);
+    };
     const QUrl url(QString::fromStdString(aTarget));
     const QUrlQuery query(url);
     if (m_silent) {
@@ -109,6 +135,43 @@
     HttpServer::Responder m_reply;
   };
 
+  /// A past state, for a restore.
+  struct Copy
+  {
+    std::map<std::string, Item> m_items;
+    std::uint64_t m_revision = 0;
+    std::size_t m_polls = 0;
+  };
+
+  /// Notes the state if it has changed, and drops states that are too old.
+  void NoteCopy()
+  {
+    ++m_polls;
+    if (m_copies.empty() || m_copies.back().m_revision != m_revision) {
+      m_copies.push_back({ m_items, m_revision, m_polls });
+    }
+    while (m_copies.size() > 1 &&
+           m_polls - m_copies[1].m_polls >= kCopyAgePolls) {
+      m_copies.pop_front();
+    }
+  }
+
+  /// Returns to the oldest copy. What the folder holds beyond it is written
+  /// again after kRewritePolls.
+  void Restore()
+  {
+    const Copy copy = m_copies.front();
+    m_copies = { copy };
+    m_items = copy.m_items;
+    m_revision = copy.m_revision;
+    std::erase_if(m_history, [&](const json& aEvent) {
+      return aEvent["Revision"] > m_revision;
+    });
+    m_historyFrom = std::min(m_historyFrom, m_revision);
+    ++m_era;
+    m_restoredPolls = kRewritePolls;
+  }
+
   static std::string Value(const QUrlQuery& aQuery, const char* aName)
   {
     return aQuery.queryItemValue(aName, QUrl::FullyDecoded).toStdString();
@@ -191,7 +254,7 @@
           events.push_back(event);
         }
       }
-      if (watch.m_after < m_historyFrom) {
+      if (watch.m_after < m_historyFrom || watch.m_after > m_revision) {
         watch.m_reply({ kGone, "text/plain", "" });
       } else if (!events.empty() || watch.m_polls-- <= 0) {
         watch.m_reply(
@@ -211,6 +274,12 @@
   bool m_down = false;
   bool m_silent = false;
   bool m_hasForgotten = false;
+  bool m_hasRestored = false;
+  /// States of the last seconds, the oldest first.
+  std::deque<Copy> m_copies;
+  std::size_t m_polls = 0;
+  std::size_t m_restoredPolls = 0;
+  std::uint64_t m_era = 0;
 };
 
 int
--- a/tests/platform.sh
+++ b/tests/platform.sh
@@ -150,6 +150,18 @@
 await "the new configuration" knows_version 1 5
 await "the new configuration" knows_version 2 5
 
+# The store is restored from a copy that lacks the last configuration. No host
+# goes back, and all take in what is written after that.
+config 6
+await "the configuration before the restore" eval "knows_version 1 6 && knows_version 2 6"
+echo restore >"$work/store/.faults"
+await "a new epoch of the store" eval 'logged 1 "event=registry_epoch epoch=1" && logged 2 "event=registry_epoch epoch=1"'
+await "the epoch in the metrics" eval 'get 1 9464 /metrics | grep -a -q "wasabiloom_state{name=\"registry_epoch\"} 1"'
+config 7
+await "the configuration after the restore" eval "knows_version 1 7 && knows_version 2 7"
+more_answers 100
+healthy
+
 # Changed settings are checked: a bad file is refused, the old one stays.
 settings 1 ', "log_level": "loud"' >"$work/h1.json"
 kill -HUP "${pids[h1]}"
--- a/tests/support/FleetNet.cpp
+++ b/tests/support/FleetNet.cpp
@@ -73,6 +73,16 @@
   m_frozen[aHost] = false;
 }
 
+void
+FleetNet::Restore()
+{
+  ++m_epoch;
+  --m_revision;
+  --m_version;
+  m_versionRevision = m_revision;
+  m_historyFrom = std::min(m_historyFrom, m_revision);
+}
+
 void
 FleetNet::Publish()
 {
@@ -276,7 +286,13 @@
 std::uint64_t
 FleetNet::RevisionOf(std::size_t aHost) const
 {
-  return m_hosts[aHost]->Revision();
+  return m_hosts[aHost]->Revision().m_number;
+}
+
+std::uint64_t
+FleetNet::EpochOf(std::size_t aHost) const
+{
+  return m_hosts[aHost]->Revision().m_epoch;
 }
 
 std::uint64_t
--- a/tests/support/FleetNet.h
+++ b/tests/support/FleetNet.h
@@ -81,6 +81,10 @@
   /// only be listed.
   void DropHistory() { m_historyFrom = m_revision; }
 
+  /// The registry loses its last change, the current version, and begins a new
+  /// epoch. Precondition: it was published after the last entry of a server.
+  void Restore();
+
   /// Whether the registry holds no configuration yet.
   void WithholdConfiguration(bool aWithheld) { m_withheld = aWithheld; }
 
@@ -93,7 +97,9 @@
 
   const fleet::SwimMembership& RosterOf(std::size_t aHost) const;
   fleet::ZoneReachability& ReachabilityOf(std::size_t aHost);
+  /// The number of the revision that a host knows, and its epoch.
   std::uint64_t RevisionOf(std::size_t aHost) const;
+  std::uint64_t EpochOf(std::size_t aHost) const;
   std::uint64_t VersionOf(std::size_t aHost) const;
   std::uint64_t LatestVersion() const { return m_version; }
   bool IsReader(std::size_t aHost) const;
@@ -162,6 +168,7 @@
   std::uint64_t m_order = 0;
   std::uint64_t m_ticks = 0;
   std::uint64_t m_starts = 0;
+  std::uint64_t m_epoch = 0;
   std::uint64_t m_revision = 10;
   /// Revision before which the registry has no history.
   std::uint64_t m_historyFrom = 0;
--- a/tests/support/FleetNetHost.h
+++ b/tests/support/FleetNetHost.h
@@ -101,7 +101,7 @@
     return m_reader.OnPeerUpdate(aUpdate, aNow);
   }
   std::optional<registry::RegistryUpdate> UpdateSince(
-    std::uint64_t aRevision,
+    const registry::RegistryRevision& aRevision,
     base::Instant aNow) const override
   {
     return m_reader.UpdateSince(aRevision, aNow);
@@ -112,7 +112,18 @@
   {
     return m_cache.IsComplete() && m_reader.IsConfirmed();
   }
-  std::uint64_t Revision() const override { return m_reader.Revision(); }
+  registry::RegistryRevision Revision() const override
+  {
+    return m_reader.Revision();
+  }
+  registry::RegistryRevision PullFrom(base::Instant aNow) const override
+  {
+    return m_cache.PullFrom(aNow);
+  }
+  bool LacksKeptFacts(base::Instant aNow) const override
+  {
+    return m_cache.LacksKeptFacts(aNow);
+  }
   void SetMaxUpdateAge(base::Duration aMaxUpdateAge, bool aStandsBy) override
   {
     m_reader.SetMaxUpdateAge(aMaxUpdateAge, aStandsBy);
@@ -206,19 +217,22 @@
       }
       return;
     }
+    const std::uint64_t after = call.m_revision.m_number;
     if (call.m_kind == registry::ReaderCall::Kind::List) {
       m_call.reset();
-      m_reader.OnPage({ m_net.FactsAfter(0), "", m_net.m_revision },
-                      m_net.m_now);
-    } else if (call.m_revision < m_net.m_historyFrom) {
+      registry::Page page{ m_net.FactsAfter(0), "", m_net.m_revision };
+      registry::SetEpoch(m_net.m_epoch, page);
+      m_reader.OnPage(page, m_net.m_now);
+    } else if (after < m_net.m_historyFrom || after > m_net.m_revision) {
       m_call.reset();
-      m_reader.OnFailure({ base::ResultCode::HistoryGone, "dropped" },
-                         m_net.m_now);
+      m_reader.OnFailure(
+        { base::ResultCode::HistoryGone, "dropped", m_net.m_epoch },
+        m_net.m_now);
     } else if (m_changes) {
       m_call.reset();
       m_reader.OnChanges(*m_changes, m_net.m_now);
-    } else if (m_net.m_revision > call.m_revision || since >= call.m_wait) {
-      SendChanges(call.m_revision);
+    } else if (m_net.m_revision > after || since >= call.m_wait) {
+      SendChanges(after);
     }
   }
 
@@ -226,6 +240,7 @@
   void SendChanges(std::uint64_t aAfter)
   {
     m_changes = registry::Changes{ m_net.FactsAfter(aAfter), m_net.m_revision };
+    registry::SetEpoch(m_net.m_epoch, *m_changes);
     const double bytes =
       kListedEntry * static_cast<double>(m_changes->m_facts.size());
     m_answerAt = m_net.TransferAnswer(m_index, bytes);
@@ -266,12 +281,13 @@
     SendContent(aTo, aProviders);
   }
   void PullInitialFacts(base::Ipv4Address aFrom,
-                        std::uint64_t aRevision) override
+                        const registry::RegistryRevision& aRevision) override
   {
     Pull(aFrom, aRevision);
   }
 
-  void Pull(base::Ipv4Address aFrom, std::uint64_t aRevision) override
+  void Pull(base::Ipv4Address aFrom,
+            const registry::RegistryRevision& aRevision) override
   {
     ++m_net.m_pulls;
     const std::size_t from = aFrom.m_bits - 1;
@@ -291,7 +307,7 @@
   /// Answers a pull of the host `aTo`.
   void TellPulled(std::size_t aTo,
                   std::uint64_t aIncarnation,
-                  std::uint64_t aRevision)
+                  const registry::RegistryRevision& aRevision)
   {
     const auto update = UpdateSince(aRevision, m_net.m_now);
     if (!update || m_net.IsLost(m_index, aTo)) {
--- a/tests/support/NoEvents.h
+++ b/tests/support/NoEvents.h
@@ -19,8 +19,15 @@
                     base::Duration /*aPause*/) override
   {
   }
-  void OnReachable(std::uint64_t /*aRevision*/) override {}
-  void OnListed(std::uint64_t /*aRevision*/, std::size_t /*aFacts*/) override {}
+  void OnReachable(const registry::RegistryRevision& /*aRevision*/) override {}
+  void OnEpoch(const registry::RegistryRevision& /*aRevision*/,
+               std::size_t /*aKept*/) override
+  {
+  }
+  void OnListed(const registry::RegistryRevision& /*aRevision*/,
+                std::size_t /*aFacts*/) override
+  {
+  }
 };
 
 } // namespace wasabiloom::tests
--- a/tests/support/RegistryModel.cpp
+++ b/tests/support/RegistryModel.cpp
@@ -1,5 +1,7 @@
 #include "support/RegistryModel.h"
 
+#include <algorithm>
+
 namespace wasabiloom::tests {
 
 using registry::Fact;
@@ -84,6 +86,20 @@
   }
 }
 
+void
+RegistryModel::Restore(std::uint64_t aBack)
+{
+  m_states.resize(m_states.size() - std::min(aBack, Revision() - 1));
+  m_historyFrom = std::min(m_historyFrom, Revision());
+  ++m_epoch;
+}
+
+void
+RegistryModel::Reconfigure(base::Instant aNow)
+{
+  Write(KeyOf(FactKind::Configuration, ""), DrawConfiguration(), aNow);
+}
+
 void
 RegistryModel::Write(const std::string& aKey,
                      const FactContent& aContent,
@@ -155,19 +171,23 @@
     last = next->first;
   }
   page.m_nextKey = next == values.end() ? "" : last;
+  registry::SetEpoch(m_epoch, page);
   return page;
 }
 
 registry::WatchResult
 RegistryModel::Watch(std::uint64_t aAfter) const
 {
-  if (aAfter < m_historyFrom) {
-    return registry::CallFailure{ base::ResultCode::HistoryGone, "dropped" };
+  if (aAfter < m_historyFrom || aAfter > Revision()) {
+    return registry::CallFailure{ base::ResultCode::HistoryGone,
+                                  "dropped",
+                                  m_epoch };
   }
   registry::Changes changes{ {}, Revision() };
   for (std::uint64_t i = aAfter + 1; i <= Revision(); ++i) {
     changes.m_facts.push_back(m_states[i].m_change);
   }
+  registry::SetEpoch(m_epoch, changes);
   return changes;
 }
 
--- a/tests/support/RegistryModel.h
+++ b/tests/support/RegistryModel.h
@@ -43,6 +43,14 @@
   /// Discards the history of all changes so far.
   void DropHistory() { m_historyFrom = Revision(); }
 
+  /// Returns to the state of `aBack` changes ago, or the first, in a new epoch.
+  void Restore(std::uint64_t aBack);
+
+  /// Writes a configuration that is newer than any before.
+  void Reconfigure(base::Instant aNow);
+
+  std::uint64_t Epoch() const { return m_epoch; }
+
   std::uint64_t Revision() const { return m_states.size() - 1; }
 
   /// Returns the latest revision that was written before `aTime`.
@@ -83,6 +91,7 @@
   std::mt19937_64& m_random;
   std::vector<State> m_states;
   std::uint64_t m_historyFrom = 0;
+  std::uint64_t m_epoch = 0;
   std::uint64_t m_version = 0;
 };
 
--- a/tests/unit/FactRelayTests.cpp
+++ b/tests/unit/FactRelayTests.cpp
@@ -252,4 +252,63 @@
   }
 }
 
+TEST(FactRelay, SpreadsWhatARestoredRegistryHolds)
+{
+  // Guards against hosts that take the restored registry's changes for known
+  // ones, as their revisions are lower, and hosts that go back to its old
+  // version.
+  FleetNet net(12, 3, 5);
+  net.RunFor(3s);
+  net.Publish();
+  net.RunFor(3s);
+  const std::uint64_t lost = net.LatestVersion();
+  const auto countWith = [&](std::uint64_t aVersion) {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < 12; ++i) {
+      count += net.IsUp(i) && net.VersionOf(i) == aVersion ? 1 : 0;
+    }
+    return count;
+  };
+  ASSERT_EQ(countWith(lost), 12U);
+
+  // A host does not hear of the restore.
+  net.m_cut = [](std::size_t aFrom, std::size_t aTo) {
+    return aFrom == 11 || aTo == 11;
+  };
+  net.m_silent = [](std::size_t aHost) { return aHost == 11; };
+  net.Restore();
+  net.RunFor(5s);
+  Section("no host goes back to the older version", [&] {
+    EXPECT_EQ(net.LatestVersion(), lost - 1);
+    EXPECT_EQ(countWith(lost), 12U);
+  });
+  Section("a host that starts then learns the later version", [&] {
+    net.Kill(5);
+    net.Start(5);
+    net.RunFor(4s);
+    EXPECT_EQ(net.VersionOf(5), lost);
+  });
+  Section("so does the host that reads the registry for the others", [&] {
+    std::size_t reader = 0;
+    while (!net.IsReader(reader)) {
+      ++reader;
+    }
+    net.Kill(reader);
+    net.Start(reader);
+    net.RunFor(4s);
+    EXPECT_EQ(net.VersionOf(reader), lost);
+  });
+  Section("all learn what is published then, also the one cut off", [&] {
+    net.Publish();
+    net.Publish();
+    net.m_cut = nullptr;
+    net.m_silent = nullptr;
+    net.RunFor(6s);
+    EXPECT_EQ(countWith(net.LatestVersion()), 12U);
+    for (std::size_t i = 0; i < 12; ++i) {
+      EXPECT_EQ(net.EpochOf(i), 1U) << i;
+    }
+  });
+}
+
 } // namespace wasabiloom::tests
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -29,8 +29,18 @@
     m_failures = aFailures;
     m_pause = aPause;
   }
-  void OnReachable(std::uint64_t /*aRevision*/) override { ++m_reached; }
-  void OnListed(std::uint64_t /*aRevision*/, std::size_t aFacts) override
+  void OnReachable(const registry::RegistryRevision& /*aRevision*/) override
+  {
+    ++m_reached;
+  }
+  void OnEpoch(const registry::RegistryRevision& aRevision,
+               std::size_t aKept) override
+  {
+    m_epoch = aRevision.m_epoch;
+    m_kept = aKept;
+  }
+  void OnListed(const registry::RegistryRevision& /*aRevision*/,
+                std::size_t aFacts) override
   {
     m_listed = aFacts;
   }
@@ -40,6 +50,8 @@
   std::uint32_t m_failures = 0;
   base::Duration m_pause{ 0 };
   std::size_t m_listed = 0;
+  std::uint64_t m_epoch = 0;
+  std::size_t m_kept = 0;
 };
 
 struct ReaderUnderTest
--- a/tests/unit/RegistryOrderTests.cpp
+++ b/tests/unit/RegistryOrderTests.cpp
@@ -29,6 +29,9 @@
 constexpr int kRecoveryRounds = 60;
 constexpr int kCallsARound = 4;
 
+/// Rounds after a restore, which last longer than facts are kept.
+constexpr int kRestoredRounds = 200;
+
 /// Age of the oldest copy of the registry that answers, in revisions.
 constexpr std::uint64_t kOldestCopy = 6;
 
@@ -47,6 +50,8 @@
   /// Longest time that its knowledge has spent on the way, which a host can't
   /// tell.
   base::Duration m_onTheWay{ 0 };
+  /// Version of the configuration in force after the last event.
+  std::uint64_t m_version = 0;
 
   explicit Host(std::uint64_t aSeed)
     : m_reader({}, aSeed, m_cache, m_events)
@@ -71,6 +76,34 @@
     }
   }
 
+  /// Like Step, with a registry that is now and then restored.
+  void StepWithRestores()
+  {
+    if (Draw(40) == 0) {
+      m_model.Restore(Draw(kOldestCopy));
+    }
+    Step();
+    for (const auto& host : m_hosts) {
+      const std::uint64_t version = host->m_cache.CurrentGlobal().m_version;
+      EXPECT_GE(version, host->m_version) << "the configuration reverted";
+      host->m_version = version;
+    }
+  }
+
+  /// The operator writes a configuration again, and the time passes for which
+  /// facts are kept.
+  void EndRestores()
+  {
+    m_model.Reconfigure(m_now);
+    for (auto& host : m_hosts) {
+      host->m_call.reset();
+      host->m_answer.reset();
+      host->m_reader.OnFailure(
+        { base::ResultCode::PlatformUnavailable, "lost" }, m_now);
+    }
+    m_isRestored = true;
+  }
+
   void Step()
   {
     auto& host = m_hosts[Draw(kHosts)];
@@ -115,7 +148,8 @@
   void ExpectRecovery()
   {
     m_updates.clear();
-    for (int round = 0; round < kRecoveryRounds; ++round) {
+    const int rounds = m_isRestored ? kRestoredRounds : kRecoveryRounds;
+    for (int round = 0; round < rounds; ++round) {
       for (auto& host : m_hosts) {
         for (int call = 0; call < kCallsARound; ++call) {
           Call(*host);
@@ -130,7 +164,10 @@
       Pass(400ms);
     }
     for (const auto& host : m_hosts) {
-      EXPECT_EQ(host->m_reader.Revision(), m_model.Revision());
+      const registry::RegistryRevision latest(m_model.Epoch(),
+                                              m_model.Revision());
+      EXPECT_EQ(host->m_reader.Revision(), latest);
+      EXPECT_EQ(host->m_cache.KeptCount(), 0U);
       EXPECT_TRUE(host->m_reader.IsConfirmed());
       EXPECT_EQ(StateOf(host->m_cache), m_model.At(m_model.Revision()));
     }
@@ -171,7 +208,7 @@
     }
     aHost.m_answeredAt = m_now;
     if (aHost.m_call->m_kind == Kind::Watch) {
-      aHost.m_answer = m_model.Watch(aHost.m_call->m_revision);
+      aHost.m_answer = m_model.Watch(aHost.m_call->m_revision.m_number);
       return;
     }
     const std::uint64_t lag =
@@ -215,8 +252,12 @@
   void SendUpdate(const Host& aFrom)
   {
     const std::size_t to = Draw(kHosts);
-    const std::uint64_t known = m_hosts[to]->m_reader.Revision();
-    const std::uint64_t since = Draw(4) == 0 ? Draw(known + 1) : known;
+    const registry::RegistryRevision known =
+      m_hosts[to]->m_cache.PullFrom(m_now);
+    const bool isOlder = Draw(4) == 0;
+    const registry::RegistryRevision since{ known.m_epoch,
+                                            isOlder ? Draw(known.m_number + 1)
+                                                    : known.m_number };
     const auto update = aFrom.m_reader.UpdateSince(since, m_now);
     if (update) {
       m_updates.push_back({ to, *update, m_now, aFrom.m_onTheWay });
@@ -251,7 +292,7 @@
   void ExpectKnown(const Host& aHost) const
   {
     const ServedState has = StateOf(aHost.m_cache);
-    const std::uint64_t from = aHost.m_reader.Revision();
+    const std::uint64_t from = aHost.m_reader.Revision().m_number;
     const auto holds = [&](const auto& aPart) {
       for (std::uint64_t i = from; i <= m_model.Revision(); ++i) {
         if (aPart(m_model.At(i)) == aPart(has)) {
@@ -287,6 +328,7 @@
   RegistryModel m_model;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::vector<Sent> m_updates;
+  bool m_isRestored = false;
 };
 
 } // namespace
@@ -316,4 +358,25 @@
   }
 }
 
+TEST(RegistryOrder, HostsAgreeWithARegistryThatWasRestored)
+{
+  // Guards against hosts that compare revisions of different epochs: they keep
+  // what the restored registry no longer holds, or miss what is written in it.
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    SCOPED_TRACE(seed);
+    DrawnEvents events(seed);
+    for (int step = 0; step < kSteps; ++step) {
+      events.StepWithRestores();
+      if (testing::Test::HasFailure()) {
+        FAIL() << "at step " << step;
+      }
+    }
+    events.EndRestores();
+    events.ExpectRecovery();
+    if (testing::Test::HasFailure()) {
+      FAIL() << "after the last step";
+    }
+  }
+}
+
 } // namespace wasabiloom::tests
--- a/tests/unit/TokenHostTests.cpp
+++ b/tests/unit/TokenHostTests.cpp
@@ -72,7 +72,7 @@
   void Change(const std::vector<registry::Fact>& aFacts, double aSeconds)
   {
     for (const registry::Fact& fact : aFacts) {
-      m_revision = std::max(m_revision, fact.m_revision);
+      m_revision = std::max(m_revision, fact.m_revision.m_number);
     }
     m_host.OnWatchAnswer(registry::Changes{ aFacts, m_revision }, At(aSeconds));
     m_host.NextCall(At(aSeconds + 1));
