A kept fact does not hide the restored entry from other hosts

Changes that a host sends left out an entry that it had set aside for a kept fact, so that the receiver claimed to know a revision without it. The entry of the restored state is sent in its place. A server that the registry lacks is not recorded as one that it lists.

--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -4,6 +4,28 @@
 
 namespace wasabiloom::registry {
 
+namespace {
+
+/// Appends the state of a zone at `aRevision`, if that is later than `aSince`.
+void
+AppendZone(const std::string& aName,
+           bool aIsOut,
+           const RegistryRevision& aRevision,
+           const RegistryRevision& aSince,
+           std::vector<Fact>& aFacts)
+{
+  if (aRevision <= aSince) {
+    return;
+  }
+  if (aIsOut) {
+    aFacts.push_back({ FactKind::ZoneOut, aName, aRevision, ZoneOut{} });
+  } else {
+    aFacts.push_back({ FactKind::ZoneOut, aName, aRevision, Removed{} });
+  }
+}
+
+} // namespace
+
 FactEvents::~FactEvents() = default;
 
 RegistryCache::RegistryCache() = default;
@@ -280,28 +302,15 @@
 {
   const bool isWhole = aRevision == RegistryRevision{};
   for (const auto& [name, zone] : m_zones) {
-    if (zone.m_revision > aRevision) {
-      AppendZone(name, zone, isWhole, aFacts);
+    if (zone.m_keptAgainst && (!isWhole || !zone.m_out)) {
+      // The registry's own state; the receiver keeps the zone as it is by it.
+      AppendZone(name, !zone.m_out, *zone.m_keptAgainst, aRevision, aFacts);
+    }
+    if (!zone.m_keptAgainst || isWhole) {
+      const bool isNeeded = zone.m_out || !isWhole || zone.m_keptAgainst;
+      const RegistryRevision since = isNeeded ? aRevision : zone.m_revision;
+      AppendZone(name, zone.m_out, zone.m_revision, since, aFacts);
     }
-  }
-}
-
-void
-RegistryCache::AppendZone(const std::string& aName,
-                          const ZoneRecord& aZone,
-                          bool aIsWhole,
-                          std::vector<Fact>& aFacts) const
-{
-  const bool isKeptIn = aIsWhole && !aZone.m_out && aZone.m_keptAgainst;
-  if (isKeptIn) {
-    // The receiver keeps the zone in service in spite of the same entry.
-    aFacts.push_back(
-      { FactKind::ZoneOut, aName, *aZone.m_keptAgainst, ZoneOut{} });
-  }
-  if (aZone.m_out) {
-    aFacts.push_back({ FactKind::ZoneOut, aName, aZone.m_revision, ZoneOut{} });
-  } else if (!aIsWhole || isKeptIn) {
-    aFacts.push_back({ FactKind::ZoneOut, aName, aZone.m_revision, Removed{} });
   }
 }
 
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -199,10 +199,6 @@
                  base::Instant aNow,
                  FactEvents& aEvents);
   std::size_t DropKeptZones(base::Instant aNow);
-  void AppendZone(const std::string& aName,
-                  const ZoneRecord& aZone,
-                  bool aIsWhole,
-                  std::vector<Fact>& aFacts) const;
   void AppendZones(const RegistryRevision& aRevision,
                    std::vector<Fact>& aFacts) const;
 
--- a/src/wasabiloom/registry/ServerRecords.cpp
+++ b/src/wasabiloom/registry/ServerRecords.cpp
@@ -130,6 +130,9 @@
     FactKind::Server, aFact.m_name, aKnown.m_revision, restored
   };
   const auto* server = std::get_if<Server>(&aFact.m_content);
+  if (aKnown.m_presence != Presence::Listed) {
+    return FactOutcome::Stale;
+  }
   if (std::holds_alternative<Removed>(aFact.m_content)) {
     SetPresence(aKnown, Presence::Gone, aNow);
   } else if (server != nullptr && server->m_state == ServerState::Draining &&
@@ -389,13 +392,14 @@
                              std::vector<Fact>& aFacts) const
 {
   const bool isWhole = aRevision == RegistryRevision{};
-  if (isWhole) {
-    std::ranges::transform(m_kept, std::back_inserter(aFacts), [](auto& aOne) {
-      return aOne.second;
-    });
+  for (const auto& [id, fact] : m_kept) {
+    if (fact.m_revision > aRevision) {
+      aFacts.push_back(fact);
+    }
   }
   for (const auto& [id, belief] : m_byId) {
-    if (belief->m_changeRevision <= aRevision) {
+    const bool isKept = m_kept.contains(id);
+    if (belief->m_changeRevision <= aRevision || (isKept && !isWhole)) {
       continue;
     }
     if (belief->m_presence == Presence::Listed) {
@@ -403,7 +407,7 @@
       server.m_coldRemaining =
         std::max(belief->m_coldUntil - aNow, base::Duration::zero());
       aFacts.push_back({ FactKind::Server, id, belief->m_revision, server });
-    } else if (!isWhole || m_kept.contains(id)) {
+    } else if (!isWhole || isKept) {
       aFacts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
     }
   }
--- a/src/wasabiloom/registry/ServerRecords.h
+++ b/src/wasabiloom/registry/ServerRecords.h
@@ -113,8 +113,9 @@
   const ServiceIndex& ByService() const { return m_byService; }
 
   /// Appends the entries and removals after `aRevision`; with 0, all current
-  /// entries. Where a fact is kept, the entry of the restored state comes
-  /// before it, so that the receiver keeps the fact for the same reason.
+  /// entries. Where a fact is kept, the entry of the restored state takes its
+  /// place; with 0, it comes before the fact, so that the receiver keeps that
+  /// for the same reason.
   void AppendChanges(const RegistryRevision& aRevision,
                      base::Instant aNow,
                      std::vector<Fact>& aFacts) const;
--- a/tests/support/RegistryModel.cpp
+++ b/tests/support/RegistryModel.cpp
@@ -48,6 +48,23 @@
 
 } // namespace
 
+std::ostream&
+operator<<(std::ostream& aOut, const ServedState& aState)
+{
+  aOut << "version " << aState.m_version;
+  for (const auto& [address, service] : aState.m_routes) {
+    aOut << ' ' << address << "=" << service;
+  }
+  for (const auto& [id, server] : aState.m_servers) {
+    aOut << ' ' << id << "=" << server.first
+         << (server.second == registry::ServerState::Draining ? "d" : "");
+  }
+  for (const std::string& zone : aState.m_zonesOut) {
+    aOut << " out:" << zone;
+  }
+  return aOut;
+}
+
 ServedState
 StateOf(const registry::RegistryCache& aCache)
 {
--- a/tests/support/RegistryModel.h
+++ b/tests/support/RegistryModel.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <ostream>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,6 +28,10 @@
   friend bool operator==(const ServedState&, const ServedState&) = default;
 };
 
+/// Writes `aState` into the message of a failed check.
+std::ostream&
+operator<<(std::ostream& aOut, const ServedState& aState);
+
 /// Returns what a host with the facts in `aCache` serves by.
 ServedState
 StateOf(const registry::RegistryCache& aCache);
