Kept facts of other hosts don't replace what the registry was heard to hold

A host that had noted the restored entry of a server or zone lost it to an older kept fact of another host, and dropped the fact later without putting the entry in force. An update of an epoch before one that the registry has named to this host was taken while the host listed the new one.

--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -56,9 +56,11 @@
                      base::Instant aNow,
                      FactEvents& aEvents)
 {
+  if (aRange.m_to.m_epoch < m_epoch.Epoch()) {
+    return UpdateOutcome::Stale;
+  }
   const bool isWhole = aRange.m_from == 0;
-  const bool isMerged = isWhole && aOrigin == Origin::Peer &&
-                        aRange.m_to.m_epoch >= m_epoch.Epoch();
+  const bool isMerged = isWhole && aOrigin == Origin::Peer;
   if (aRange.m_to < m_history.End() || aRange.m_to.m_number == 0) {
     if (isMerged) {
       MergeKept(aFacts, aRange.m_to.m_epoch, aNow, aEvents);
@@ -149,13 +151,20 @@
     return FactOutcome::Stale;
   }
   zone.m_revision = aFact.m_revision;
-  zone.m_keptAgainst.reset();
+  const bool isKept = aFact.m_revision.m_epoch < m_epoch.Epoch();
+  if (!isKept) {
+    zone.m_keptAgainst.reset();
+  }
   if (out == zone.m_out) {
     return FactOutcome::Unchanged;
   }
   zone.m_out = out;
   zone.m_since = aNow;
-  if (aFact.m_revision.m_epoch < m_epoch.Epoch()) {
+  if (isKept && zone.m_keptAgainst) {
+    // The zone is now as the registry says.
+    zone.m_revision = *zone.m_keptAgainst;
+    zone.m_keptAgainst.reset();
+  } else if (isKept) {
     zone.m_keptAgainst = m_epoch.First();
   }
   return FactOutcome::Adopted;
--- a/src/wasabiloom/registry/ServerRecords.cpp
+++ b/src/wasabiloom/registry/ServerRecords.cpp
@@ -153,7 +153,10 @@
                             base::Instant aNow,
                             Origin aOrigin)
 {
-  m_kept.erase(aFact.m_name);
+  // What other hosts keep does not tell what the registry holds.
+  if (aFact.m_revision.m_epoch >= m_epoch.Epoch()) {
+    m_kept.erase(aFact.m_name);
+  }
   const auto removal = m_removals.find(aFact.m_name);
   if (removal != m_removals.end() &&
       aFact.m_revision <= removal->second.m_revision) {
