--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -1,66 +1,30 @@
 #include "wasabiloom/registry/RegistryCache.h"
 
-#include "wasabiloom/base/Hash.h"
-
 #include <algorithm>
 
 namespace wasabiloom::registry {
 
 namespace {
 
-bool
-TakesFlows(Presence aPresence)
-{
-  return aPresence == Presence::Listed || aPresence == Presence::Lapsed;
-}
-
-/// Returns whether the entry `aServer` tells nothing new. A cold server
-/// rewrites its entry all the time with a shorter remaining cold time, which is
-/// no change. Entries are read some time after they were written, so the
-/// remaining time is an upper bound.
-bool
-SaysTheSame(const ServerRecord& aRecord,
-            const Server& aServer,
-            base::Instant aNow)
-{
-  Server known = aRecord.m_server;
-  known.m_coldRemaining = aServer.m_coldRemaining;
-  const bool wasCold = aNow < aRecord.m_coldUntil;
-  const bool isCold = aServer.m_coldRemaining > base::Duration::zero();
-  const bool isColdAgain =
-    isCold && (!wasCold || aNow + aServer.m_coldRemaining >
-                             aRecord.m_coldUntil + kSameCold);
-  return aRecord.m_presence == Presence::Listed && known == aServer &&
-         !isColdAgain;
-}
-
-} // namespace
-
-std::string_view
-ToString(Presence aPresence)
+/// Appends the state of a zone at `aRevision`, if that is later than `aSince`.
+void
+AppendZone(const std::string& aName,
+           bool aIsOut,
+           const RegistryRevision& aRevision,
+           const RegistryRevision& aSince,
+           std::vector<Fact>& aFacts)
 {
-  switch (aPresence) {
-    case Presence::Listed:
-      return "listed";
-    case Presence::Lapsed:
-      return "lapsed";
-    case Presence::Gone:
-      return "gone";
-    case Presence::Replaced:
-      return "replaced";
+  if (aRevision <= aSince) {
+    return;
+  }
+  if (aIsOut) {
+    aFacts.push_back({ FactKind::ZoneOut, aName, aRevision, ZoneOut{} });
+  } else {
+    aFacts.push_back({ FactKind::ZoneOut, aName, aRevision, Removed{} });
   }
-  return "unlisted";
 }
 
-std::uint32_t
-MakeToken(std::string_view aId, std::uint64_t aBorn)
-{
-  // The hash of the text alone is linear in its seed for short texts, so that
-  // servers of neighbouring ids and starts would get the same token.
-  const auto token =
-    static_cast<std::uint32_t>(base::Combine(base::HashText(aId), aBorn));
-  return token == 0 ? 1 : token;
-}
+} // namespace
 
 FactEvents::~FactEvents() = default;
 
@@ -76,7 +40,7 @@
     case FactKind::Route:
       return ApplyRoute(aFact, aNow);
     case FactKind::Server:
-      return ApplyServer(aFact, aNow, aOrigin);
+      return m_servers.Apply(aFact, aNow, aOrigin);
     case FactKind::ZoneOut:
       return ApplyZone(aFact, aNow);
     case FactKind::Other:
@@ -92,13 +56,28 @@
                      base::Instant aNow,
                      FactEvents& aEvents)
 {
+  if (aRange.m_to.m_epoch < m_epoch.Epoch()) {
+    return UpdateOutcome::Stale;
+  }
   const bool isWhole = aRange.m_from == 0;
-  if (aRange.m_to < m_history.End() || aRange.m_to == 0) {
+  const bool isMerged = isWhole && aOrigin == Origin::Peer;
+  if (aRange.m_to < m_history.End() || aRange.m_to.m_number == 0) {
+    if (isMerged) {
+      MergeKept(aFacts, aRange.m_to.m_epoch, aNow, aEvents);
+    }
     return UpdateOutcome::Stale;
   }
-  if (!isWhole && !m_history.CanAppend(aRange)) {
+  const bool hasOtherBase =
+    aOrigin == Origin::Peer && m_routes.IsKept(aRange.m_to.m_epoch) &&
+    std::ranges::any_of(aFacts, [](const Fact& aFact) {
+      return std::holds_alternative<GlobalConfiguration>(aFact.m_content);
+    });
+  if (!isWhole && (!m_history.CanAppend(aRange) || hasOtherBase)) {
     return UpdateOutcome::Gap;
   }
+  if (isMerged) {
+    m_mergedEpoch = aRange.m_to.m_epoch;
+  }
   FactNames found;
   for (const Fact& fact : aFacts) {
     // A change at a known revision may have been replaced since. Whole facts
@@ -146,162 +125,53 @@
                  : FactOutcome::SetAside;
 }
 
-FactOutcome
-RegistryCache::ApplyServer(const Fact& aFact,
-                           base::Instant aNow,
-                           Origin aOrigin)
-{
-  const auto known = m_byId.find(aFact.m_name);
-  ServerRecord* belief = known == m_byId.end() ? nullptr : known->second;
-  if (belief != nullptr && aFact.m_revision <= belief->m_revision) {
-    return aFact.m_revision == belief->m_revision ? FactOutcome::Unchanged
-                                                  : FactOutcome::Stale;
-  }
-  const auto removal = m_removals.find(aFact.m_name);
-  if (removal != m_removals.end() &&
-      aFact.m_revision <= removal->second.m_revision) {
-    return FactOutcome::Stale;
-  }
-  if (const auto* server = std::get_if<Server>(&aFact.m_content)) {
-    m_removals.erase(aFact.m_name);
-    return ApplyEntry(*server, aFact.m_revision, belief, aNow, aOrigin);
-  }
-  if (belief != nullptr) {
-    return RemoveServer(*belief, aFact.m_revision, aNow);
-  }
-  return RecordRemoval(aFact, aNow);
-}
-
-FactOutcome
-RegistryCache::RecordRemoval(const Fact& aFact, base::Instant aNow)
-{
-  m_removals[aFact.m_name] = { aFact.m_revision, aNow };
-  return std::holds_alternative<Removed>(aFact.m_content)
-           ? FactOutcome::Unchanged
-           : FactOutcome::SetAside;
-}
-
-FactOutcome
-RegistryCache::ApplyEntry(const Server& aServer,
-                          std::uint64_t aRevision,
-                          ServerRecord* aKnown,
-                          base::Instant aNow,
-                          Origin aOrigin)
-{
-  if (aKnown != nullptr && SaysTheSame(*aKnown, aServer, aNow)) {
-    aKnown->m_revision = aRevision;
-    // Cold servers write their entries again and again, the last time when they
-    // are warm. Any other entry that is written again without a change may have
-    // been missing in between, which other hosts may have seen.
-    const bool isRenewal =
-      std::max(aServer.m_coldRemaining, aKnown->m_server.m_coldRemaining) >
-      base::Duration::zero();
-    aKnown->m_server.m_coldRemaining = aServer.m_coldRemaining;
-    if (aOrigin != Origin::Watch || !isRenewal) {
-      aKnown->m_changeRevision = aRevision;
-    }
-    aKnown->m_coldUntil =
-      std::min(aKnown->m_coldUntil, aNow + aServer.m_coldRemaining);
-    return FactOutcome::Unchanged;
-  }
-  ServerRecord* belief = aKnown;
-  if (belief == nullptr || belief->m_server.m_startId != aServer.m_startId) {
-    if (belief != nullptr) {
-      SetPresence(*belief, Presence::Replaced, aNow);
-    }
-    belief = &Add(aServer);
-  }
-  belief->m_server = aServer;
-  belief->m_revision = aRevision;
-  belief->m_changeRevision = aRevision;
-  belief->m_coldUntil = aNow + aServer.m_coldRemaining;
-  SetPresence(*belief, Presence::Listed, aNow);
-  return FactOutcome::Adopted;
-}
-
-FactOutcome
-RegistryCache::RemoveServer(ServerRecord& aRecord,
-                            std::uint64_t aRevision,
-                            base::Instant aNow)
-{
-  aRecord.m_revision = aRevision;
-  // A server that was removed before may have been listed in between on other
-  // hosts, which then need this removal.
-  aRecord.m_changeRevision = aRevision;
-  if (!TakesFlows(aRecord.m_presence)) {
-    return FactOutcome::Unchanged;
-  }
-  const bool saidFarewell = aRecord.m_server.m_state == ServerState::Draining;
-  SetPresence(aRecord, saidFarewell ? Presence::Gone : Presence::Lapsed, aNow);
-  return FactOutcome::Adopted;
-}
-
-ServerRecord&
-RegistryCache::Add(const Server& aServer)
-{
-  ServerRecord& record = m_records[{ aServer.m_id, aServer.m_startId }];
-  record.m_token = MakeToken(aServer.m_id, aServer.m_startId);
-  m_byId[aServer.m_id] = &record;
-  ServerRecord*& holder = m_byToken[record.m_token];
-  // The server with the smaller id gets the token, so that all hosts agree
-  // whatever the order of the entries. The other server gets no flows.
-  const bool takesToken =
-    holder == nullptr || aServer.m_id <= holder->m_server.m_id;
-  if (takesToken && holder != nullptr) {
-    holder->m_tokenCollides = true;
-  }
-  if (takesToken) {
-    holder = &record;
-  }
-  record.m_tokenCollides = !takesToken;
-  return record;
-}
-
-void
-RegistryCache::SetPresence(ServerRecord& aRecord,
-                           Presence aPresence,
-                           base::Instant aNow)
-{
-  if (aRecord.m_presence != aPresence ||
-      aRecord.m_presenceSince == base::Instant{}) {
-    aRecord.m_presence = aPresence;
-    aRecord.m_presenceSince = aNow;
-  }
-  const StartKey start{ aRecord.m_server.m_id, aRecord.m_server.m_startId };
-  if (aPresence == Presence::Listed) {
-    m_away.erase(start);
-  } else {
-    m_away.insert(start);
-  }
-  if (TakesFlows(aPresence)) {
-    m_byService.Add(
-      aRecord.m_server.m_service, aRecord.m_server.m_zone, aRecord);
-  } else {
-    m_byService.Remove(aRecord);
-  }
-}
-
 FactOutcome
 RegistryCache::ApplyZone(const Fact& aFact, base::Instant aNow)
 {
   ZoneRecord& zone = m_zones[aFact.m_name];
+  const bool isKeptByPeer =
+    aFact.m_revision.m_epoch < zone.m_revision.m_epoch && m_epoch.Keeps(aNow) &&
+    m_epoch.MayBeRestored(zone.m_revision);
+  if (isKeptByPeer) {
+    const bool isOut = !std::holds_alternative<Removed>(aFact.m_content);
+    if (isOut == zone.m_out) {
+      return FactOutcome::Unchanged;
+    }
+    zone = { isOut, aNow, aFact.m_revision, zone.m_revision };
+    return FactOutcome::Adopted;
+  }
   if (aFact.m_revision <= zone.m_revision) {
     return aFact.m_revision == zone.m_revision ? FactOutcome::Unchanged
                                                : FactOutcome::Stale;
   }
-  zone.m_revision = aFact.m_revision;
   // A zone entry with a malformed value still takes the zone out of service.
   const bool out = !std::holds_alternative<Removed>(aFact.m_content);
+  if (out != zone.m_out && Keeps(zone, aFact.m_revision, aNow)) {
+    zone.m_keptAgainst = aFact.m_revision;
+    return FactOutcome::Stale;
+  }
+  zone.m_revision = aFact.m_revision;
+  const bool isKept = aFact.m_revision.m_epoch < m_epoch.Epoch();
+  if (!isKept) {
+    zone.m_keptAgainst.reset();
+  }
   if (out == zone.m_out) {
     return FactOutcome::Unchanged;
   }
   zone.m_out = out;
   zone.m_since = aNow;
+  if (isKept && zone.m_keptAgainst) {
+    // The zone is now as the registry says.
+    zone.m_revision = *zone.m_keptAgainst;
+    zone.m_keptAgainst.reset();
+  } else if (isKept) {
+    zone.m_keptAgainst = m_epoch.First();
+  }
   return FactOutcome::Adopted;
 }
 
 void
-RegistryCache::EndListing(std::uint64_t aRevision,
+RegistryCache::EndListing(const RegistryRevision& aRevision,
                           const FactNames& aFound,
                           base::Instant aNow)
 {
@@ -309,76 +179,98 @@
     return;
   }
   m_history.AddState(aRevision);
-  for (const auto& [id, belief] : m_byId) {
-    if (belief->m_revision <= aRevision &&
-        !aFound.contains({ FactKind::Server, id })) {
-      RemoveServer(*belief, aRevision, aNow);
-    }
-  }
+  m_servers.EndListing(aRevision, aFound, aNow);
+  EndZoneListing(aRevision, aFound, aNow);
+}
+
+void
+RegistryCache::EndZoneListing(const RegistryRevision& aRevision,
+                              const FactNames& aFound,
+                              base::Instant aNow)
+{
   for (auto& [name, zone] : m_zones) {
-    if (zone.m_out && zone.m_revision <= aRevision &&
-        !aFound.contains({ FactKind::ZoneOut, name })) {
+    const bool isFound = aFound.contains({ FactKind::ZoneOut, name });
+    const bool isOfEarlierEpoch = zone.m_revision.m_epoch < aRevision.m_epoch;
+    if (zone.m_revision > aRevision ||
+        (isFound && (!zone.m_out || !isOfEarlierEpoch))) {
+      continue;
+    }
+    // An entry of an earlier epoch was kept by another host.
+    if (!zone.m_out) {
+      zone.m_keptAgainst.reset();
+    } else if (Keeps(zone, aRevision, aNow)) {
+      zone.m_keptAgainst = aRevision;
+    } else {
       zone = { false, aNow, aRevision };
     }
   }
 }
 
+bool
+RegistryCache::Keeps(const ZoneRecord& aZone,
+                     const RegistryRevision& aRevision,
+                     base::Instant aNow) const
+{
+  const bool isOfRestoredState = m_epoch.Keeps(aNow) &&
+                                 aZone.m_revision != RegistryRevision{} &&
+                                 aZone.m_revision.m_epoch < aRevision.m_epoch &&
+                                 m_epoch.MayBeRestored(aRevision);
+  // The restored state holds every change that is older than kKeptFor. An entry
+  // for a zone that has been in service for longer is a new one.
+  return isOfRestoredState && (aZone.m_out || aNow - aZone.m_since <= kKeptFor);
+}
+
 void
-RegistryCache::Tick(base::Instant aNow)
+RegistryCache::MergeKept(const std::vector<Fact>& aFacts,
+                         std::uint64_t aEpoch,
+                         base::Instant aNow,
+                         FactEvents& aEvents)
 {
-  std::vector<StartKey> forgotten;
-  for (const StartKey& start : m_away) {
-    ServerRecord& belief = m_records.at(start);
-    const base::Duration age = aNow - belief.m_presenceSince;
-    if (belief.m_presence == Presence::Lapsed && age > kLapseGrace) {
-      belief.m_presence = Presence::Gone;
-      belief.m_presenceSince = aNow;
-      m_byService.Remove(belief);
-    } else if (!TakesFlows(belief.m_presence) && age > kForgetAfter) {
-      forgotten.push_back(start);
+  m_mergedEpoch = aEpoch;
+  for (const Fact& fact : aFacts) {
+    if (fact.m_revision.m_epoch < aEpoch) {
+      aEvents.OnFact(fact, Apply(fact, aNow, Origin::Peer), Origin::Peer);
     }
   }
-  for (const StartKey& start : forgotten) {
-    Forget(start);
-  }
-  ForgetRemovals(aNow - kForgetAfter);
-  m_history.Forget(m_routes.Forget(aNow - kForgetAfter));
 }
 
-void
-RegistryCache::ForgetRemovals(base::Instant aBefore)
+std::size_t
+RegistryCache::KeptCount() const
 {
-  std::erase_if(m_removals, [&](const auto& aOne) {
-    const bool forget = aOne.second.m_at < aBefore;
-    if (forget) {
-      m_history.Forget(aOne.second.m_revision);
-    }
-    return forget;
+  const auto zones = std::ranges::count_if(m_zones, [](const auto& aOne) {
+    return aOne.second.m_keptAgainst.has_value();
   });
+  return m_servers.KeptCount() + static_cast<std::size_t>(zones);
 }
 
-void
-RegistryCache::Forget(const StartKey& aStart)
+RegistryRevision
+RegistryCache::PullFrom(base::Instant aNow) const
 {
-  const ServerRecord& belief = m_records.at(aStart);
-  m_history.Forget(belief.m_revision);
-  const auto latest = m_byId.find(aStart.first);
-  if (latest != m_byId.end() && latest->second == &belief) {
-    m_byId.erase(latest);
-  }
-  const auto holder = m_byToken.find(belief.m_token);
-  if (holder != m_byToken.end() && holder->second == &belief) {
-    m_byToken.erase(holder);
+  const RegistryRevision& end = m_history.End();
+  const bool needsAll = LacksKeptFacts(aNow) || m_routes.IsKept(end.m_epoch);
+  return needsAll ? RegistryRevision{} : end;
+}
+
+std::size_t
+RegistryCache::DropKeptZones(base::Instant aNow)
+{
+  std::size_t dropped = 0;
+  for (auto& [name, zone] : m_zones) {
+    if (zone.m_keptAgainst) {
+      zone = { !zone.m_out, aNow, *zone.m_keptAgainst };
+      ++dropped;
+    }
   }
-  m_away.erase(aStart);
-  m_records.erase(aStart);
+  return dropped;
 }
 
-const ServerRecord*
-RegistryCache::FindByToken(std::uint32_t aToken) const
+std::size_t
+RegistryCache::Tick(base::Instant aNow)
 {
-  const auto found = m_byToken.find(aToken);
-  return found == m_byToken.end() ? nullptr : found->second;
+  m_history.Forget(m_servers.Tick(aNow));
+  m_history.Forget(m_routes.Forget(aNow - kForgetAfter));
+  const bool drops = KeptCount() > 0 && !m_epoch.Keeps(aNow);
+  return drops ? m_servers.DropKept(aNow) + DropKeptZones(aNow) : 0;
 }
 
 std::optional<base::Instant>
@@ -392,7 +284,8 @@
 }
 
 std::optional<std::vector<Fact>>
-RegistryCache::FactsSince(std::uint64_t aRevision, base::Instant aNow) const
+RegistryCache::FactsSince(const RegistryRevision& aRevision,
+                          base::Instant aNow) const
 {
   const bool whole = aRevision == 0;
   if (!whole && !m_history.ReachesBackTo(aRevision)) {
@@ -407,48 +300,25 @@
                       m_routes.Revision(),
                       m_routes.FullConfiguration() });
   }
-  AppendServers(aRevision, aNow, facts);
+  m_servers.AppendChanges(aRevision, aNow, facts);
   AppendZones(aRevision, facts);
   return facts;
 }
 
 void
-RegistryCache::AppendServers(std::uint64_t aRevision,
-                             base::Instant aNow,
-                             std::vector<Fact>& aFacts) const
-{
-  for (const auto& [id, belief] : m_byId) {
-    if (belief->m_changeRevision <= aRevision) {
-      continue;
-    }
-    if (belief->m_presence == Presence::Listed) {
-      Server server = belief->m_server;
-      server.m_coldRemaining =
-        std::max(belief->m_coldUntil - aNow, base::Duration::zero());
-      aFacts.push_back({ FactKind::Server, id, belief->m_revision, server });
-    } else if (aRevision != 0) {
-      aFacts.push_back({ FactKind::Server, id, belief->m_revision, Removed{} });
-    }
-  }
-  for (const auto& [id, removal] : m_removals) {
-    if (aRevision != 0 && removal.m_revision > aRevision) {
-      aFacts.push_back({ FactKind::Server, id, removal.m_revision, Removed{} });
-    }
-  }
-}
-
-void
-RegistryCache::AppendZones(std::uint64_t aRevision,
+RegistryCache::AppendZones(const RegistryRevision& aRevision,
                            std::vector<Fact>& aFacts) const
 {
+  const bool isWhole = aRevision == RegistryRevision{};
   for (const auto& [name, zone] : m_zones) {
-    if (zone.m_revision <= aRevision) {
-      continue;
+    if (zone.m_keptAgainst && (!isWhole || !zone.m_out)) {
+      // The registry's own state; the receiver keeps the zone as it is by it.
+      AppendZone(name, !zone.m_out, *zone.m_keptAgainst, aRevision, aFacts);
     }
-    if (zone.m_out) {
-      aFacts.push_back({ FactKind::ZoneOut, name, zone.m_revision, ZoneOut{} });
-    } else if (aRevision != 0) {
-      aFacts.push_back({ FactKind::ZoneOut, name, zone.m_revision, Removed{} });
+    if (!zone.m_keptAgainst || isWhole) {
+      const bool isNeeded = zone.m_out || !isWhole || zone.m_keptAgainst;
+      const RegistryRevision since = isNeeded ? aRevision : zone.m_revision;
+      AppendZone(name, zone.m_out, zone.m_revision, since, aFacts);
     }
   }
 }
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -5,74 +5,13 @@
 #include "wasabiloom/registry/Facts.h"
 #include "wasabiloom/registry/KnownHistory.h"
 #include "wasabiloom/registry/RouteTable.h"
-#include "wasabiloom/registry/ServiceIndex.h"
+#include "wasabiloom/registry/ServerRecords.h"
 
 #include <map>
 #include <optional>
-#include <set>
-#include <unordered_map>
 
 namespace wasabiloom::registry {
 
-/// State of a backend server's entry in the registry, as far as known here.
-enum class Presence : std::uint8_t
-{
-  /// The entry exists.
-  Listed,
-  /// The entry disappeared although the server had not announced that it was
-  /// draining. It may reappear within `kLapseGrace`.
-  Lapsed,
-  /// The server drained before its entry was removed, or the entry has been
-  /// missing for longer than `kLapseGrace`.
-  Gone,
-  /// A later start of the server has registered under the same id.
-  Replaced,
-};
-
-/// Returns the name of `aPresence` for logs. Thread safe.
-std::string_view
-ToString(Presence aPresence);
-
-/// The latest known state of one start of a backend server process.
-struct ServerRecord
-{
-  Server m_server;
-  /// Identifies this start in callers' packets; never 0.
-  std::uint32_t m_token = 0;
-  Presence m_presence = Presence::Listed;
-  /// When `m_presence` last changed.
-  base::Instant m_presenceSince;
-  /// When the server stops being cold.
-  base::Instant m_coldUntil;
-  /// Revision of the latest entry, or of its removal.
-  std::uint64_t m_revision = 0;
-  /// Revision of the latest change that other hosts may need to learn. An entry
-  /// that only repeats what is known raises `m_revision` alone.
-  std::uint64_t m_changeRevision = 0;
-  /// The token of this start belongs to a server with a smaller id, so this
-  /// start gets no flows.
-  bool m_tokenCollides = false;
-};
-
-/// Returns the token of the start `aBorn` of the server `aId`. It is the
-/// same on every host. Thread safe.
-std::uint32_t
-MakeToken(std::string_view aId, std::uint64_t aBorn);
-
-/// A lapsed entry that reappears within this time is listed again; after it the
-/// server counts as gone.
-constexpr base::Duration kLapseGrace = std::chrono::milliseconds(2500);
-
-/// How long the record of a gone or replaced start is kept, so that the
-/// token in packets of its remaining flows can still be resolved.
-constexpr base::Duration kForgetAfter = std::chrono::seconds(75);
-
-/// Tolerance for the end of a server's cold period. A cold server counts as
-/// cold again only when its entry moves the end back by more than this. Entries
-/// are written about once a second and read some time later, so a smaller
-/// difference is delay and no change.
-constexpr base::Duration kSameCold = std::chrono::milliseconds(1500);
-
 /// Result of applying the changes in a range of revisions.
 enum class UpdateOutcome : std::uint8_t
 {
@@ -82,7 +21,9 @@
   /// The changes end at an older revision than is known here.
   Stale,
   /// The changes start at a newer revision than is known here, so changes in
-  /// between are missing.
+  /// between are missing; or they belong to a later epoch of the registry, or
+  /// are based on another configuration than the one in force here. All facts
+  /// are needed then, or the changes from the known revision on.
   Gap,
 };
 
@@ -101,7 +42,13 @@
 /// The registry's facts as known on this host, and the part of the registry's
 /// history that they cover. A single fact never extends that part; only
 /// complete listings and ranges of changes do. Never returns to an older
-/// revision of a fact or to an older version of the configuration. Not thread
+/// revision of a fact or to an older version of the configuration.
+///
+/// A registry that was restored from a copy begins a new epoch, in which its
+/// state lacks the last changes. For kKeptFor from then on, the zones and
+/// servers that its restored state lacks or contradicts are kept as known here.
+/// They are part of a whole state for other hosts, with the revision of the
+/// earlier epoch. What is written in the new epoch counts at once. Not thread
 /// safe: use it from one thread at a time.
 class RegistryCache
 {
@@ -129,17 +76,45 @@
                       base::Instant aNow,
                       FactEvents& aEvents);
 
+  /// Notes that the registry has reached `aRevision`, and that its epoch has
+  /// been known to a host since `aSince`. To be called before facts of a new
+  /// epoch are applied. Returns whether the epoch is new to this host.
+  bool NoteEpoch(const RegistryRevision& aRevision, base::Instant aSince)
+  {
+    return m_epoch.Note(aRevision, aSince);
+  }
+
+  /// Returns the start of the registry's epoch, as far as known here.
+  const EpochStart& Epoch() const { return m_epoch; }
+
+  /// Number of zones and servers that are kept in spite of the restored state.
+  std::size_t KeptCount() const;
+
+  /// Whether other hosts may keep facts that this host lacks: it has listed the
+  /// registry soon after a restore, and no other host has sent it all facts
+  /// since.
+  bool LacksKeptFacts(base::Instant aNow) const
+  {
+    return m_epoch.Keeps(aNow) && m_mergedEpoch < m_epoch.Epoch() &&
+           HasCompleteListing();
+  }
+
+  /// Revision after which this host needs the changes from another host; 0 when
+  /// it needs all facts.
+  RegistryRevision PullFrom(base::Instant aNow) const;
+
   /// Completes a listing that began at `aRevision` and returned the facts named
   /// in `aFound`. Servers and zone entries known at that revision that were not
   /// returned are removed. Has no effect if a later state is known meanwhile.
-  void EndListing(std::uint64_t aRevision,
+  void EndListing(const RegistryRevision& aRevision,
                   const FactNames& aFound,
                   base::Instant aNow);
 
   /// Marks entries as gone that have been missing for longer than
   /// `kLapseGrace`, and drops records of removals that are older than
-  /// `kForgetAfter`. Call it regularly.
-  void Tick(base::Instant aNow);
+  /// `kForgetAfter`. Drops what was kept in spite of a restored state after
+  /// `kKeptFor`; returns the number of facts dropped so. Call it regularly.
+  std::size_t Tick(base::Instant aNow);
 
   /// Returns the part of the registry's history that is known.
   const KnownHistory& History() const { return m_history; }
@@ -169,16 +144,19 @@
   }
 
   /// Returns the server start with `aToken`, or null.
-  const ServerRecord* FindByToken(std::uint32_t aToken) const;
+  const ServerRecord* FindByToken(std::uint32_t aToken) const
+  {
+    return m_servers.FindByToken(aToken);
+  }
 
   /// Returns the servers of `aService` whose entries are listed or lapsed.
   ServiceIndex::Servers ServersOf(std::string_view aService) const
   {
-    return m_byService.All(aService);
+    return m_servers.ByService().All(aService);
   }
 
   /// Returns the listed and lapsed servers by service and zone, for sampling.
-  const ServiceIndex& ServersByService() const { return m_byService; }
+  const ServiceIndex& ServersByService() const { return m_servers.ByService(); }
 
   /// Returns when this host learned that `aZone` was taken out of service;
   /// empty when the zone is in service.
@@ -187,71 +165,49 @@
   /// Returns the facts that changed after `aRevision`, for another host to
   /// apply; with 0, all current facts. Empty when not every change after
   /// `aRevision` is known here.
-  std::optional<std::vector<Fact>> FactsSince(std::uint64_t aRevision,
+  std::optional<std::vector<Fact>> FactsSince(const RegistryRevision& aRevision,
                                               base::Instant aNow) const;
 
-  std::size_t ServerCount() const { return m_records.size(); }
+  std::size_t ServerCount() const { return m_servers.Count(); }
 
 private:
-  /// Id of a server and one of its starts.
-  using StartKey = std::pair<std::string, std::uint64_t>;
-
-  /// Removal of the entry of a server that this host did not know. Another
-  /// host may know the server, and is sent the removal.
-  struct RemovalRecord
-  {
-    std::uint64_t m_revision = 0;
-    base::Instant m_at;
-  };
-
   struct ZoneRecord
   {
     bool m_out = false;
     base::Instant m_since;
-    std::uint64_t m_revision = 0;
+    RegistryRevision m_revision;
+    /// Revision of the contrary state in spite of which this one is kept.
+    std::optional<RegistryRevision> m_keptAgainst{};
   };
 
   FactOutcome ApplyConfiguration(const Fact& aFact,
                                  base::Instant aNow,
                                  Origin aOrigin);
   FactOutcome ApplyRoute(const Fact& aFact, base::Instant aNow);
-  FactOutcome ApplyServer(const Fact& aFact,
-                          base::Instant aNow,
-                          Origin aOrigin);
-  FactOutcome RecordRemoval(const Fact& aFact, base::Instant aNow);
-  FactOutcome ApplyEntry(const Server& aServer,
-                         std::uint64_t aRevision,
-                         ServerRecord* aKnown,
-                         base::Instant aNow,
-                         Origin aOrigin);
   FactOutcome ApplyZone(const Fact& aFact, base::Instant aNow);
-  FactOutcome RemoveServer(ServerRecord& aRecord,
-                           std::uint64_t aRevision,
-                           base::Instant aNow);
-  /// Returns the record of this start as the latest of its server.
-  ServerRecord& Add(const Server& aServer);
-  void SetPresence(ServerRecord& aRecord,
-                   Presence aPresence,
-                   base::Instant aNow);
-  void Forget(const StartKey& aStart);
-  void ForgetRemovals(base::Instant aBefore);
-  void AppendServers(std::uint64_t aRevision,
-                     base::Instant aNow,
-                     std::vector<Fact>& aFacts) const;
-  void AppendZones(std::uint64_t aRevision, std::vector<Fact>& aFacts) const;
-
+  /// Whether a zone remains as it is in spite of its state at `aRevision`.
+  bool Keeps(const ZoneRecord& aZone,
+             const RegistryRevision& aRevision,
+             base::Instant aNow) const;
+  void EndZoneListing(const RegistryRevision& aRevision,
+                      const FactNames& aFound,
+                      base::Instant aNow);
+  /// Applies the facts in a whole update of another host that are of earlier
+  /// epochs, although the update is not later than what is known here.
+  void MergeKept(const std::vector<Fact>& aFacts,
+                 std::uint64_t aEpoch,
+                 base::Instant aNow,
+                 FactEvents& aEvents);
+  std::size_t DropKeptZones(base::Instant aNow);
+  void AppendZones(const RegistryRevision& aRevision,
+                   std::vector<Fact>& aFacts) const;
+
+  EpochStart m_epoch;
+  /// Latest epoch of which another host has sent all facts.
+  std::uint64_t m_mergedEpoch = 0;
   RouteTable m_routes;
   KnownHistory m_history;
-  /// Owns the records; all other containers refer to them.
-  std::map<StartKey, ServerRecord> m_records;
-  /// Of several starts with the same token, that of the smallest id.
-  std::unordered_map<std::uint32_t, ServerRecord*> m_byToken;
-  /// The latest start under each id.
-  std::map<std::string, ServerRecord*, std::less<>> m_byId;
-  std::map<std::string, RemovalRecord, std::less<>> m_removals;
-  ServiceIndex m_byService;
-  /// The starts that are not listed.
-  std::set<StartKey> m_away;
+  ServerRecords m_servers{ m_epoch };
   std::map<std::string, ZoneRecord> m_zones;
 };
 
--- a/tests/support/RegistryModel.h
+++ b/tests/support/RegistryModel.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <ostream>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,6 +28,10 @@
   friend bool operator==(const ServedState&, const ServedState&) = default;
 };
 
+/// Writes `aState` into the message of a failed check.
+std::ostream&
+operator<<(std::ostream& aOut, const ServedState& aState);
+
 /// Returns what a host with the facts in `aCache` serves by.
 ServedState
 StateOf(const registry::RegistryCache& aCache);
@@ -43,6 +48,14 @@
   /// Discards the history of all changes so far.
   void DropHistory() { m_historyFrom = Revision(); }
 
+  /// Returns to the state of `aBack` changes ago, or the first, in a new epoch.
+  void Restore(std::uint64_t aBack);
+
+  /// Writes a configuration that is newer than any before.
+  void Reconfigure(base::Instant aNow);
+
+  std::uint64_t Epoch() const { return m_epoch; }
+
   std::uint64_t Revision() const { return m_states.size() - 1; }
 
   /// Returns the latest revision that was written before `aTime`.
@@ -83,6 +96,7 @@
   std::mt19937_64& m_random;
   std::vector<State> m_states;
   std::uint64_t m_historyFrom = 0;
+  std::uint64_t m_epoch = 0;
   std::uint64_t m_version = 0;
 };
 
