--- a/src/wasabiloom/fleet/LoadExchange.cpp
+++ b/src/wasabiloom/fleet/LoadExchange.cpp
@@ -204,6 +204,7 @@
   const std::size_t place =
     (OwnPlace(HostsOfZone()) + base::Mix(aNumber)) % members.size();
   std::vector<base::Ipv4Address> hosts;
+  hosts.reserve(members.size());
   for (const Member* member : members) {
     hosts.push_back(member->m_address);
   }
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -213,6 +213,7 @@
     }
   }
   std::vector<placing::GroupRequests> requests;
+  requests.reserve(sums.size());
   for (const auto& [group, sum] : sums) {
     requests.push_back({ group, sum });
   }
