Pauses grow while the registry is behind what a host knows

Cause: three ways into refused calls without end, found by tests. A watch from a revision that the registry has not reached got 410, the listing after it ended behind, and both began anew with the first pause. A watch answered with an older revision than it was called with was repeated without any pause by a host for which others read. A page of a listing that got 410 was asked for again and again. A listing that ended behind also made the host tell others that its facts were current. Change: refusals in a row at one revision are counted until a watch succeeds, and the pause grows with them; an answer that ends before its revision is such a refusal; a refused page begins the listing anew. The four new tests of Reader failed before and pass; FactRelay, RegistryCache, RegistryOrder and TokenHost pass.

--- a/src/wasabiloom/registry/Reader.cpp
+++ b/src/wasabiloom/registry/Reader.cpp
@@ -130,9 +130,14 @@
   // The pages of a listing are no snapshot, so the watch starts at the revision
   // of the oldest page to receive what changed while the listing ran.
   const std::uint64_t before = Revision().m_epoch;
-  m_unwatchableRevision.reset();
   m_cache.EndListing(m_listing.m_revision, m_listing.m_found, aNow);
-  if (!m_mayBeStale) {
+  // A registry that refuses a watch from the known revision and lists an older
+  // one is behind. It does not confirm what is known, and none of its changes
+  // are applied.
+  const bool isBehind =
+    m_unwatchableRevision == Revision() && m_listing.m_revision < Revision();
+  m_unwatchableRevision.reset();
+  if (!m_mayBeStale && !isBehind) {
     m_confirmed = true;
     m_learnedAt = std::max(m_learnedAt, m_listing.m_begunAt);
   }
@@ -157,6 +162,13 @@
       aNow);
     return;
   }
+  if (m_watchedRevision && aChanges.m_revision < *m_watchedRevision) {
+    OnFailure({ base::ResultCode::HistoryGone,
+                "watch ends at revision " + ToString(aChanges.m_revision) +
+                  " after " + ToString(*m_watchedRevision) },
+              aNow);
+    return;
+  }
   m_inCall = false;
   NoteAnswer(aChanges.m_revision, aNow);
   NoteLaterEpoch(epoch);
@@ -174,6 +186,7 @@
   if (outcome == UpdateOutcome::Applied) {
     m_confirmed = true;
     m_learnedAt = aNow;
+    m_refusals = 0;
   }
   m_due = aChanges.m_facts.empty() ? aNow : aNow + m_timing.m_pauseAfterChanges;
 }
@@ -185,9 +198,12 @@
   NoteLaterEpoch(aFailure.m_epoch);
   if (m_watchedRevision && IsAnswered(aFailure.m_code)) {
     // A watch from this revision would fail again.
-    m_mayBeStale = false;
     m_unwatchableRevision = m_watchedRevision;
-    m_failures = 0;
+    NoteRefusal(*m_watchedRevision);
+  } else if (aFailure.m_code == base::ResultCode::HistoryGone) {
+    // So would the page of the listing.
+    m_listing = {};
+    NoteRefusal(Revision());
   }
   ++m_failures;
   const std::uint32_t doublings = std::min(m_failures - 1, kMaxDoublings);
@@ -202,6 +218,18 @@
   m_events.OnCallFailed(aFailure, m_failures, chosen);
 }
 
+void
+Reader::NoteRefusal(const RegistryRevision& aRevision)
+{
+  if (aRevision != m_refusedRevision) {
+    m_refusals = 0;
+  }
+  m_mayBeStale = false;
+  m_refusedRevision = aRevision;
+  // The first refusal is answered by a listing, which need not wait long.
+  m_failures = m_refusals++;
+}
+
 UpdateOutcome
 Reader::OnPeerUpdate(const RegistryUpdate& aUpdate, base::Instant aNow)
 {
--- a/src/wasabiloom/registry/Reader.h
+++ b/src/wasabiloom/registry/Reader.h
@@ -181,6 +181,9 @@
   void TakePage(const Page& aPage, base::Instant aNow);
   void EndListing(base::Instant aNow);
   void NoteAnswer(const RegistryRevision& aRevision, base::Instant aNow);
+  /// Counts a call that the registry refused while `aRevision` was known and
+  /// that only a new listing can replace.
+  void NoteRefusal(const RegistryRevision& aRevision);
   /// Whether the registry must be listed: nothing is known yet, or the changes
   /// after the known revision can't be watched.
   bool NeedsListing() const;
@@ -207,6 +210,10 @@
   std::uint64_t m_answeredEpoch = 0;
   /// Epoch that was known when the call in progress was made.
   std::uint64_t m_callEpoch = 0;
+  /// Refused calls in a row for m_refusedRevision. A listing does not reset
+  /// them, so that the pauses grow while listings don't help.
+  std::uint32_t m_refusals = 0;
+  RegistryRevision m_refusedRevision;
   std::uint32_t m_failures = 0;
   base::Instant m_due;
   base::Instant m_listNotBefore;
--- a/tests/unit/FactRelayTests.cpp
+++ b/tests/unit/FactRelayTests.cpp
@@ -237,6 +237,29 @@
   }
 }
 
+TEST(FactRelay, LearnsWhileTheRegistryRefusesSomeHostsAndDropsItsHistory)
+{
+  // Guards against hosts that stay behind since the registry refuses them, in
+  // particular those that read for the others, while the rest must list.
+  for (const bool refusesReaders : { true, false }) {
+    for (const bool atOnce : { true, false }) {
+      FleetNet net(kHosts, kZones, 7);
+      net.RunFor(5s);
+      net.m_silent = [&](std::size_t aHost) {
+        return net.IsReader(aHost) == refusesReaders || aHost % 3 == 0;
+      };
+      net.m_refuses = atOnce;
+      net.RunFor(4500ms);
+      net.Publish();
+      net.DropHistory();
+      net.RunFor(kWithin);
+      for (std::size_t i = 0; i < kHosts; ++i) {
+        EXPECT_EQ(net.VersionOf(i), net.LatestVersion()) << i;
+      }
+    }
+  }
+}
+
 TEST(FactRelay, LetsFewHostsListWhileThereIsNoConfiguration)
 {
   constexpr std::size_t kMany = 90;
--- a/tests/unit/ReaderTests.cpp
+++ b/tests/unit/ReaderTests.cpp
@@ -273,6 +273,114 @@
   }
 }
 
+/// Answers the calls of a reader that knows revision 30 as a registry does that
+/// is at `aRevision`. `aWatch` answers a watch.
+template<typename Watch>
+int
+CountCallsWhileBehind(Reader& aReader,
+                      std::uint64_t aRevision,
+                      const Watch& aWatch)
+{
+  int calls = 0;
+  for (int ms = 0; ms < 20'000; ms += 10) {
+    const base::Instant now = At(100 + ms / 1000.0);
+    const ReaderCall call = aReader.Next(now);
+    calls += call.m_kind == Kind::None ? 0 : 1;
+    if (call.m_kind == Kind::List) {
+      aReader.OnPage({ { ConfigurationFact(1, 1) }, "", aRevision }, now);
+    } else if (call.m_kind == Kind::Watch) {
+      aWatch(now);
+    }
+  }
+  return calls;
+}
+
+/// Two calls for each of the longest pauses, at their shortest, in 20 s, and
+/// those of the first pauses.
+constexpr int kMaxCallsIn20S = 60;
+
+TEST(Reader, BacksOffWhileTheRegistryIsBehindWhatIsKnown)
+{
+  // Guards against hosts that list and watch several times a second for as long
+  // as the registry is behind what they learned from others: each listing
+  // counted as a success, and each watch from the known revision got 410.
+  for (const std::uint64_t revision : { 20, 30 }) {
+    ReaderUnderTest setup;
+    setup.List(10);
+    Reader& reader = setup.m_reader;
+    reader.OnPeerUpdate({ 0, 30, {}, { ConfigurationFact(2, 25) } }, At(1));
+    const auto gone = [&](base::Instant aNow) {
+      reader.OnFailure({ ResultCode::HistoryGone, "410" }, aNow);
+    };
+    EXPECT_LT(CountCallsWhileBehind(reader, revision, gone), kMaxCallsIn20S);
+    EXPECT_GT(setup.m_events.m_failures, 5U);
+    EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 2U);
+
+    Section("the first change after the known revision is learned", [&] {
+      ReaderCall call = reader.Next(At(130));
+      if (call.m_kind == Kind::Watch) {
+        gone(At(130));
+        call = reader.Next(At(132));
+      }
+      ASSERT_EQ(call.m_kind, Kind::List);
+      reader.OnPage({ { ConfigurationFact(3, 31) }, "", 31 }, At(132));
+      EXPECT_EQ(setup.m_cache.CurrentGlobal().m_version, 3U);
+    });
+    Section("the next 410, for a later revision, is a first failure", [&] {
+      reader.Next(At(133));
+      gone(At(133));
+      EXPECT_EQ(setup.m_events.m_failures, 1U);
+    });
+  }
+}
+
+TEST(Reader, IsNotCurrentByAListingThatEndsBehindWhatIsKnown)
+{
+  // Guards against a host that tells others that its facts are current while
+  // the registry is behind them and none of its changes are taken in.
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.OnPeerUpdate({ 0, 30, {}, { ConfigurationFact(2, 25) } }, At(1));
+  reader.Next(At(2));
+  reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(2));
+  EXPECT_EQ(reader.Next(At(3)).m_kind, Kind::List);
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "", 20 }, At(3));
+  EXPECT_EQ(reader.LearnedAt(), At(1));
+}
+
+TEST(Reader, BacksOffWhenAWatchEndsBeforeItsRevision)
+{
+  // Guards against calls without pause: a registry that is behind may answer a
+  // watch at once with its own revision in place of 410.
+  ReaderUnderTest setup;
+  setup.List(10);
+  Reader& reader = setup.m_reader;
+  reader.OnPeerUpdate({ 0, 30, {}, { ConfigurationFact(2, 25) } }, At(1));
+  reader.SetMaxUpdateAge(std::chrono::seconds(5));
+  const auto behind = [&](base::Instant aNow) {
+    reader.OnChanges({ {}, 20 }, aNow);
+  };
+  EXPECT_LT(CountCallsWhileBehind(reader, 20, behind), kMaxCallsIn20S);
+  EXPECT_EQ(reader.LearnedAt(), At(1));
+  EXPECT_TRUE(reader.IsFailing());
+}
+
+TEST(Reader, BeginsAListingAnewWhenOneOfItsPagesIsGone)
+{
+  // Guards against a host that asks for the same page for ever.
+  ReaderUnderTest setup;
+  Reader& reader = setup.m_reader;
+  reader.Next(At(0));
+  reader.OnPage({ { ConfigurationFact(1, 1) }, "k", 10 }, At(0));
+  EXPECT_EQ(reader.Next(At(0)).m_afterKey, "k");
+  reader.OnFailure({ ResultCode::HistoryGone, "410" }, At(0));
+  const ReaderCall list = reader.Next(At(2));
+  EXPECT_EQ(list.m_kind, Kind::List);
+  EXPECT_EQ(list.m_afterKey, "");
+  EXPECT_FALSE(list.m_mayBeStale);
+}
+
 TEST(Reader, WatchesFromTheOldestPageOfAListing)
 {
   // Guards against a draining server that counts as ready after a restart: a
