Load observer in a class of its own; one mapping of hashes to fractions

Change: token::LoadObserver, RegistryCache::CanAcceptFlow, base::PointOf and placing::kReportLife are used everywhere.

--- a/src/wasabiloom/placing/Placement.cpp
+++ b/src/wasabiloom/placing/Placement.cpp
@@ -53,16 +53,6 @@
   return isCold || (IsUsable(aCandidate, aAvoid) && aCandidate.m_share < 1);
 }
 
-/// Maps `aHash` to a number from 0 to below 1.
-double
-Fraction(std::uint64_t aHash)
-{
-  constexpr int kDoubleBits = 53;
-  constexpr int kHashBits = 64;
-  return std::ldexp(static_cast<double>(aHash >> (kHashBits - kDoubleBits)),
-                    -kDoubleBits);
-}
-
 /// Salts of the hash, so that draws are independent of each other.
 constexpr std::uint64_t kShareSalt = 0x5a5e;
 constexpr std::uint64_t kSpeedSalt = 0x59ed;
@@ -163,7 +153,7 @@
       continue;
     }
     const double draw =
-      Fraction(base::Combine(aHash ^ kSpeedSalt, candidate.m_token));
+      base::PointOf(base::Combine(aHash ^ kSpeedSalt, candidate.m_token));
     const double time = ExpectedTime(candidate, reference, -std::log1p(-draw));
     const Candidate*& best = candidate.m_sameZone ? near : far;
     double& bestTime = candidate.m_sameZone ? nearTime : farTime;
@@ -248,7 +238,7 @@
     }
   }
   const double scale = sums.Scale();
-  double point = sums.Total() * Fraction(base::Combine(aHash, kShareSalt));
+  double point = sums.Total() * base::PointOf(base::Combine(aHash, kShareSalt));
   for (const Candidate& candidate : aCandidates) {
     if (!takesPart(candidate) || !IsLimited(candidate, aAvoid)) {
       continue;
--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -273,6 +273,16 @@
   return drops ? m_servers.DropKept(aNow) + DropKeptZones(aNow) : 0;
 }
 
+bool
+RegistryCache::CanAcceptFlow(const ServerRecord& aServer) const
+{
+  const bool isThere = aServer.m_presence == Presence::Listed ||
+                       aServer.m_presence == Presence::Lapsed;
+  return isThere && !aServer.m_tokenCollides &&
+         aServer.m_server.m_state == ServerState::Ready &&
+         !ZoneOutSince(aServer.m_server.m_zone);
+}
+
 std::optional<base::Instant>
 RegistryCache::ZoneOutSince(const std::string& aZone) const
 {
--- a/src/wasabiloom/registry/RegistryCache.h
+++ b/src/wasabiloom/registry/RegistryCache.h
@@ -149,6 +149,9 @@
     return m_servers.FindByToken(aToken);
   }
 
+  /// Whether new flows can be sent to `aServer`, regardless of health and load.
+  bool CanAcceptFlow(const ServerRecord& aServer) const;
+
   /// Returns the servers of `aService` whose entries are listed or lapsed.
   ServiceIndex::Servers ServersOf(std::string_view aService) const
   {
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -3,7 +3,6 @@
 #include "wasabiloom/base/Hash.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace wasabiloom::token {
 
@@ -43,6 +42,7 @@
   , m_cache(aCache)
   , m_flows(aFlows)
   , m_sharedLoad(aSharedLoad)
+  , m_observer(aCache, aFlows, m_serverHealth, m_latencies)
   , m_loadControl(aFeatures, m_ownZone, aCache, aSharedLoad)
 {
 }
@@ -143,7 +143,7 @@
   base::Instant aNow) const
 {
   return aObserved && aObserved->m_failingHosts >= kFailingHostsForSuspicion &&
-         aNow - m_serverHealth.LastResponseAt(aToken) > kReportLife;
+         aNow - m_serverHealth.LastResponseAt(aToken) > placing::kReportLife;
 }
 
 void
@@ -360,11 +360,7 @@
 bool
 ServerSelector::CanAcceptFlow(const ServerRecord& aServer) const
 {
-  const bool isThere = aServer.m_presence == Presence::Listed ||
-                       aServer.m_presence == Presence::Lapsed;
-  return isThere && !aServer.m_tokenCollides &&
-         aServer.m_server.m_state == ServerState::Ready &&
-         !m_cache.ZoneOutSince(aServer.m_server.m_zone);
+  return m_cache.CanAcceptFlow(aServer);
 }
 
 bool
@@ -392,108 +388,6 @@
   return (isGone || isMissed) && isSilent;
 }
 
-placing::HostLoad
-ServerSelector::TakeLoad(base::Instant aNow)
-{
-  return { TakeRequests(aNow), TakeSamples(aNow) };
-}
-
-std::vector<placing::GroupRequests>
-ServerSelector::TakeRequests(base::Instant aNow)
-{
-  std::map<placing::ServerGroup, double> sums;
-  for (const AverageRequests& average : m_flows.TakeAverages(aNow)) {
-    const ServerRecord* server = m_cache.FindByToken(average.m_token);
-    // Requests at a server that takes no flows are no load of the others.
-    if (server != nullptr && CanAcceptFlow(*server) &&
-        aNow >= server->m_coldUntil) {
-      sums[{ server->m_server.m_service, server->m_server.m_zone }] +=
-        average.m_requests;
-    }
-  }
-  std::vector<placing::GroupRequests> requests;
-  requests.reserve(sums.size());
-  for (const auto& [group, sum] : sums) {
-    requests.push_back({ group, sum });
-  }
-  std::ranges::sort(
-    requests, std::greater{}, &placing::GroupRequests::m_requests);
-  requests.resize(std::min(requests.size(), placing::kMaxGroupsPerHost));
-  return requests;
-}
-
-std::vector<placing::ServerSample>
-ServerSelector::TakeSamples(base::Instant aNow)
-{
-  std::vector<std::uint32_t> failing = m_serverHealth.FailingOpenings(aNow);
-  std::ranges::sort(failing);
-  std::vector<std::uint32_t> recovered;
-  std::ranges::set_difference(
-    m_reportedFailing, failing, std::back_inserter(recovered));
-  std::vector<placing::SampleCount> counts = m_latencies.Counts(aNow);
-  std::vector<placing::ServerSample> samples;
-  const auto add = [&](std::uint32_t aToken, bool aIsFailing) {
-    const auto count =
-      std::ranges::find(counts, aToken, &placing::SampleCount::m_token);
-    samples.push_back({ aToken,
-                        m_latencies.AverageFor(aToken, aNow),
-                        count == counts.end() ? 0 : count->m_samples,
-                        aIsFailing });
-    m_latencies.RestartCount(aToken);
-  };
-  failing.resize(std::min(failing.size(), kMaxReportedServers));
-  recovered.resize(std::min(recovered.size(), kMaxReportedServers));
-  for (const std::uint32_t token : recovered) {
-    add(token, false);
-  }
-  for (const std::uint32_t token : failing) {
-    add(token, true);
-  }
-  const std::size_t room =
-    kMaxReportedServers - std::min(samples.size(), kMaxReportedServers);
-  std::erase_if(counts, [&](const placing::SampleCount& aCount) {
-    return std::ranges::find(samples,
-                             aCount.m_token,
-                             &placing::ServerSample::m_token) != samples.end();
-  });
-  const auto end =
-    counts.begin() + static_cast<std::ptrdiff_t>(std::min(room, counts.size()));
-  std::ranges::partial_sort(
-    counts, end, std::greater{}, &placing::SampleCount::m_samples);
-  for (auto count = counts.begin(); count != end; ++count) {
-    samples.push_back({ count->m_token,
-                        m_latencies.AverageFor(count->m_token, aNow),
-                        count->m_samples,
-                        false });
-    m_latencies.RestartCount(count->m_token);
-  }
-  m_reportedFailing = std::move(failing);
-  return samples;
-}
-
-placing::GroupSlots
-ServerSelector::UsableSlots(base::Instant aNow) const
-{
-  placing::GroupSlots slots;
-  m_cache.ServersByService().ForEachList(
-    [&](const std::string& aService,
-        const std::string& aZone,
-        const registry::ServiceIndex::Servers& aServers) {
-      std::uint64_t sum = 0;
-      const bool isOut = m_cache.ZoneOutSince(aZone).has_value();
-      for (const ServerRecord* server : aServers) {
-        const bool counts = !isOut && !server->m_tokenCollides &&
-                            server->m_server.m_state == ServerState::Ready &&
-                            aNow >= server->m_coldUntil;
-        sum += counts ? server->m_server.m_slots : 0;
-      }
-      if (sum > 0) {
-        slots[{ aService, aZone }] = sum;
-      }
-    });
-  return slots;
-}
-
 void
 ServerSelector::Sweep(base::Instant aNow)
 {
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -12,6 +12,7 @@
 #include "wasabiloom/registry/RegistryCache.h"
 #include "wasabiloom/token/FlowTracker.h"
 #include "wasabiloom/token/LoadControl.h"
+#include "wasabiloom/token/LoadObserver.h"
 
 #include <optional>
 #include <string>
@@ -44,12 +45,6 @@
 /// fault of its own.
 constexpr std::uint32_t kFailingHostsForSuspicion = 2;
 
-/// Time for which a response of a server outweighs what other hosts report; the
-/// longest age of a report.
-constexpr base::Duration kReportLife = std::chrono::seconds(2);
-/// Number of servers of which one report holds the response times.
-constexpr std::size_t kMaxReportedServers = 4;
-
 /// Tracks health, response times and load of all servers, and selects servers
 /// for new flows. Not thread safe.
 class ServerSelector
@@ -132,15 +127,8 @@
   bool IsConfirmedGone(const registry::ServerRecord& aServer,
                        base::Instant aNow) const;
 
-  /// Returns what this host observed since the last call: average requests at
-  /// the servers that count in UsableSlots, and the most significant servers:
-  /// first those whose state of failure has changed or holds, then those with
-  /// the most responses since they were last reported.
-  placing::HostLoad TakeLoad(base::Instant aNow);
-
-  /// Returns the slots of the warm servers that can accept new flows, by
-  /// service and zone. Passes over all servers.
-  placing::GroupSlots UsableSlots(base::Instant aNow) const;
+  /// What this host observed, for its load reports.
+  LoadObserver& GetObserver() { return m_observer; }
   /// Decides anew which new flows spill over to other zones. Must be called
   /// several times a second.
   void UpdateLoad(TokenEffects& aEffects, base::Instant aNow);
@@ -196,10 +184,6 @@
                     base::Instant aNow);
   /// Limit of the configuration for a cold server of `aService`; 0 for none.
   double ColdFlowsPerSecond(std::string_view aService) const;
-  std::vector<placing::GroupRequests> TakeRequests(base::Instant aNow);
-  std::vector<placing::ServerSample> TakeSamples(base::Instant aNow);
-  bool IsSuspect(const registry::ServerRecord& aServer,
-                 base::Instant aNow) const;
   bool IsZoneSuspect(std::string_view aZone, base::Instant aNow) const;
 
   std::string m_ownZone;
@@ -217,8 +201,7 @@
   bool m_usesSlowStart = false;
   placing::SlowStart m_slowStart;
   placing::ColdQuota m_coldQuota;
-  /// Servers that the last report called failing, in ascending order.
-  std::vector<std::uint32_t> m_reportedFailing;
+  LoadObserver m_observer;
   LoadControl m_loadControl;
   std::uint64_t m_spilled = 0;
   /// Buffers that are reused to avoid allocations for each new flow.
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -450,7 +450,7 @@
 TokenHost::TakeLoad(base::Instant aNow)
 {
   m_reportsLoad = true;
-  return m_servers.TakeLoad(aNow);
+  return m_servers.GetObserver().Take(aNow);
 }
 
 void
@@ -482,7 +482,7 @@
   }
   if (aNow - m_slotsAt > kSlotsInterval) {
     m_slotsAt = aNow;
-    m_sharedLoad.SetSlots(m_servers.UsableSlots(aNow));
+    m_sharedLoad.SetSlots(m_servers.GetObserver().UsableSlots(aNow));
   }
   m_sharedLoad.Tick(aNow);
   const std::size_t reporters = m_sharedLoad.ReporterCount();
