--- a/src/wasabiloom/fleet/LoadExchange.cpp
+++ b/src/wasabiloom/fleet/LoadExchange.cpp
@@ -142,7 +142,7 @@
 std::optional<base::Ipv4Address>
 LoadExchange::ReceiverOf(std::uint32_t aNumber) const
 {
-  if (aNumber % kLoadReportsAFarOne == 0) {
+  if (aNumber % kReportsPerFarReport == 0) {
     const auto other = DrawInOtherZone(aNumber);
     return other ? other : DrawInZone(aNumber);
   }
@@ -199,7 +199,7 @@
   if (others.empty()) {
     return std::nullopt;
   }
-  const std::size_t turn = aNumber / kLoadReportsAFarOne;
+  const std::size_t turn = aNumber / kReportsPerFarReport;
   const auto& members = *others[(before + turn) % others.size()];
   const std::size_t place =
     (OwnPlace(HostsOfZone()) + base::Mix(aNumber)) % members.size();
--- a/src/wasabiloom/fleet/LoadExchange.h
+++ b/src/wasabiloom/fleet/LoadExchange.h
@@ -30,7 +30,7 @@
 
 /// One in this many reports goes to another zone; the others stay in the zone,
 /// because traffic between zones is charged for.
-constexpr std::uint32_t kLoadReportsAFarOne = 4;
+constexpr std::uint32_t kReportsPerFarReport = 4;
 
 /// Numbers of reports above this are not taken over from other hosts, so that a
 /// wrong one can't make the numbers wrap around.
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -11,7 +11,6 @@
 using packet::TokenPacket;
 using registry::Presence;
 using registry::ServerRecord;
-using registry::ServerState;
 
 /// The service time is at least a response time divided by this, whatever the
 /// handshakes took: a server that is slow to open flows is not fast.
