--- a/tests/unit/LoadTableTests.cpp
+++ b/tests/unit/LoadTableTests.cpp
@@ -6,6 +6,8 @@
 
 #include <limits>
 
+#include <cmath>
+
 namespace wasabiloom::tests {
 
 using namespace placing;
@@ -68,8 +70,9 @@
   /// Ticks four times a second up to `aSeconds`.
   void RunUntil(double aFrom, double aSeconds)
   {
-    for (double now = aFrom; now <= aSeconds; now += 0.25) {
-      m_table.Tick(At(now));
+    const auto ticks = std::lround(std::floor(4 * (aSeconds - aFrom) + 1e-6));
+    for (long tick = 0; tick <= ticks; ++tick) {
+      m_table.Tick(At(aFrom + 0.25 * static_cast<double>(tick)));
     }
   }
 
@@ -207,7 +210,11 @@
       LearnedLoad zones;
       for (std::size_t i = 0; i < kMaxZoneRequests; ++i) {
         zones.m_zones.push_back(
-          { "z" + std::to_string(host * 1000 + i), { "desk", "a" }, 1, 5, 0s });
+          { "z" + std::to_string(std::size_t{ host } * 1000 + i),
+            { "desk", "a" },
+            1,
+            5,
+            0s });
       }
       m_table.Merge({ { host }, "b", 1, 1 }, {}, zones, At(0));
     }
