--- a/tests/unit/LoadTableTests.cpp
+++ b/tests/unit/LoadTableTests.cpp
@@ -4,9 +4,8 @@
 
 #include <gtest/gtest.h>
 
-#include <limits>
-
 #include <cmath>
+#include <limits>
 
 namespace wasabiloom::tests {
 
