--- a/src/wasabiloom/registry/ServiceIndex.cpp
+++ b/src/wasabiloom/registry/ServiceIndex.cpp
@@ -71,13 +71,9 @@
 ServiceIndex::All(std::string_view aService) const
 {
   Servers all;
-  const auto found = m_lists.find(aService);
-  if (found == m_lists.end()) {
-    return all;
-  }
-  for (const auto& [zone, servers] : found->second) {
-    all.insert(all.end(), servers.begin(), servers.end());
-  }
+  ForEachZone(aService, [&](const std::string&, const Servers& aServers) {
+    all.insert(all.end(), aServers.begin(), aServers.end());
+  });
   return all;
 }
 
--- a/src/wasabiloom/token/LoadControl.cpp
+++ b/src/wasabiloom/token/LoadControl.cpp
@@ -108,8 +108,7 @@
 }
 
 void
-LoadControl::Tick(const ServerTest& aCanAccept,
-                  const ZoneTest& aIsSuspect,
+LoadControl::Tick(const ZoneTest& aIsSuspect,
                   TokenEffects& aEffects,
                   base::Instant aNow)
 {
@@ -123,7 +122,7 @@
   });
   for (auto& [name, service] : m_services) {
     if (aNow - service.m_countedAt >= kSlotCountInterval) {
-      CountSlots(name, service, aCanAccept, aNow);
+      CountSlots(name, service, aNow);
     }
     Step(name, service, aIsSuspect, aEffects, aNow);
   }
@@ -132,7 +131,6 @@
 void
 LoadControl::CountSlots(std::string_view aName,
                         Service& aService,
-                        const ServerTest& aCanAccept,
                         base::Instant aNow) const
 {
   aService.m_countedAt = aNow;
@@ -143,7 +141,7 @@
     aName, [&](const std::string& aZone, const auto& aServers) {
       double& slots = aService.m_zones[aZone].m_slots;
       for (const registry::ServerRecord* server : aServers) {
-        slots += aCanAccept(*server) ? server->m_server.m_slots : 0;
+        slots += m_cache.CanAcceptFlow(*server) ? server->m_server.m_slots : 0;
       }
     });
 }
--- a/src/wasabiloom/token/LoadControl.h
+++ b/src/wasabiloom/token/LoadControl.h
@@ -46,7 +46,6 @@
 class LoadControl
 {
 public:
-  using ServerTest = std::function<bool(const registry::ServerRecord&)>;
   using ZoneTest = std::function<bool(std::string_view)>;
 
   /// The references must outlive this object.
@@ -75,10 +74,9 @@
   /// Whether the server `aToken` of `aService` gets no new ordinary flows.
   bool IsReserved(std::string_view aService, std::uint32_t aToken) const;
 
-  /// Decides anew if kLoadStepInterval has passed. `aCanAccept` tells whether a
-  /// server can take new flows, `aIsSuspect` whether a zone is suspect.
-  void Tick(const ServerTest& aCanAccept,
-            const ZoneTest& aIsSuspect,
+  /// Decides anew if kLoadStepInterval has passed. `aIsSuspect` tells whether a
+  /// zone is suspect.
+  void Tick(const ZoneTest& aIsSuspect,
             TokenEffects& aEffects,
             base::Instant aNow);
 
@@ -109,7 +107,6 @@
   void ReadClasses();
   void CountSlots(std::string_view aName,
                   Service& aService,
-                  const ServerTest& aCanAccept,
                   base::Instant aNow) const;
   placing::ZoneState StateOf(std::string_view aService,
                              const std::string& aZone,
--- a/src/wasabiloom/token/ServerSelector.cpp
+++ b/src/wasabiloom/token/ServerSelector.cpp
@@ -30,6 +30,17 @@
   return static_cast<std::int32_t>(aLater - aEarlier) > 0;
 }
 
+/// Whether a sample need not be followed by another: the server is warm, not
+/// suspect, and not the one to avoid.
+bool
+IsGood(const std::optional<placing::Placement>& aPlacement,
+       std::uint32_t aAvoid)
+{
+  return aPlacement &&
+         aPlacement->m_reason == placing::PlaceReason::LeastLoad &&
+         aPlacement->m_token != aAvoid;
+}
+
 } // namespace
 
 ServerSelector::ServerSelector(std::string aOwnZone,
@@ -41,6 +52,7 @@
   , m_cache(aCache)
   , m_flows(aFlows)
   , m_sharedLoad(aSharedLoad)
+  , m_usesSlowStart(aFeatures.m_slowStart)
   , m_observer(aCache, aFlows, m_serverHealth, m_latencies)
   , m_loadControl(aFeatures, m_ownZone, aCache, aSharedLoad)
 {
@@ -243,7 +255,6 @@
 ServerSelector::UpdateLoad(TokenEffects& aEffects, base::Instant aNow)
 {
   m_loadControl.Tick(
-    [&](const ServerRecord& aServer) { return CanAcceptFlow(aServer); },
     [&](std::string_view aZone) { return IsZoneSuspect(aZone, aNow); },
     aEffects,
     aNow);
@@ -263,10 +274,7 @@
   AddCandidates(m_drawn, aNow);
   ApplyReserve(aService, aUrgency);
   const auto best = placing::Place(m_candidates, aAvoid, aHash);
-  const bool isGood = best &&
-                      best->m_reason == placing::PlaceReason::LeastLoad &&
-                      best->m_token != aAvoid;
-  return isGood ? best : std::nullopt;
+  return IsGood(best, aAvoid) ? best : std::nullopt;
 }
 
 std::optional<placing::Placement>
@@ -292,11 +300,8 @@
     AddCandidates(m_drawn, aNow);
     ApplyReserve(aService, aUrgency);
     best = placing::Place(m_candidates, aAvoid, aHash);
-    const bool isGood = best &&
-                        best->m_reason == placing::PlaceReason::LeastLoad &&
-                        best->m_token != aAvoid;
     const bool wereAll = m_drawn.size() < registry::SampleSize{}.m_totalCount;
-    if (isGood || wereAll) {
+    if (IsGood(best, aAvoid) || wereAll) {
       return best;
     }
   }
--- a/src/wasabiloom/token/ServerSelector.h
+++ b/src/wasabiloom/token/ServerSelector.h
@@ -57,10 +57,6 @@
                  const placing::SharedLoad& aSharedLoad,
                  const LoadFeatures& aFeatures = {});
 
-  /// Switches on slow start, cold quotas, shared suspicion and speeds. Call it
-  /// before the first packet.
-  void EnableSlowStart() { m_usesSlowStart = true; }
-
   /// Records that the host knows the registry from now on; see
   /// placing::SlowStart::SetKnownSince.
   void OnRegistryKnown(base::Instant aNow) { m_slowStart.SetKnownSince(aNow); }
@@ -198,7 +194,8 @@
   /// Times of handshakes by the key of the server's zone. They are the way of
   /// the packets, which is also part of response times.
   placing::LatencyTracker m_handshakes;
-  bool m_usesSlowStart = false;
+  /// Whether slow start, cold quotas, shared suspicion and speeds are on.
+  bool m_usesSlowStart;
   placing::SlowStart m_slowStart;
   placing::ColdQuota m_coldQuota;
   LoadObserver m_observer;
--- a/src/wasabiloom/token/TokenHost.cpp
+++ b/src/wasabiloom/token/TokenHost.cpp
@@ -31,9 +31,6 @@
               aSharedLoad == nullptr ? m_sharedLoad : *aSharedLoad,
               m_identity.m_load)
 {
-  if (m_identity.m_load.m_slowStart) {
-    m_servers.EnableSlowStart();
-  }
 }
 
 TokenHost::~TokenHost() = default;
--- a/tests/unit/SlowStartTests.cpp
+++ b/tests/unit/SlowStartTests.cpp
@@ -536,11 +536,17 @@
   }
 
   std::map<std::uint32_t, int> Flows(double aSeconds)
+  {
+    return FlowsOf(m_selector, aSeconds);
+  }
+
+  static std::map<std::uint32_t, int> FlowsOf(token::ServerSelector& aSelector,
+                                              double aSeconds)
   {
     std::map<std::uint32_t, int> counts;
     for (std::uint64_t flow = 1; flow <= 200; ++flow) {
       const auto chosen =
-        m_selector.ChooseServer("desk", 0, base::Mix(flow), At(aSeconds));
+        aSelector.ChooseServer("desk", 0, base::Mix(flow), At(aSeconds));
       ++counts[chosen ? chosen->m_token : 0];
     }
     return counts;
@@ -549,7 +555,11 @@
   registry::RegistryCache m_cache;
   token::FlowTracker m_flows;
   FakeLoad m_load;
-  token::ServerSelector m_selector{ "a", m_cache, m_flows, m_load };
+  token::ServerSelector m_selector{ "a",
+                                    m_cache,
+                                    m_flows,
+                                    m_load,
+                                    { false, false, true } };
   std::uint32_t m_first = registry::MakeToken("i-1", 1);
 };
 
@@ -559,9 +569,11 @@
 TEST_F(SelectorTest, AvoidsServersThatSeveralHostsReport)
 {
   m_load.m_known[m_first] = { 0ms, 0, 2 };
-  Section("without slow start the reports have no effect",
-          [&] { EXPECT_TRUE(Flows(1).contains(m_first)); });
-  m_selector.EnableSlowStart();
+  Section("without slow start the reports have no effect", [&] {
+    token::ServerSelector off{ "a", m_cache, m_flows, m_load };
+    off.OnRegistryKnown(At(0));
+    EXPECT_TRUE(FlowsOf(off, 1).contains(m_first));
+  });
   Section("two hosts make a server suspect",
           [&] { EXPECT_FALSE(Flows(1).contains(m_first)); });
   Section("it returns with a small share", [&] {
