One rule for what is kept in spite of a restored state

Cause: the condition that a value of an earlier epoch outlives one that may be of the restored state stood four times, for zones and servers in both directions. Change: EpochStart::Keeps with both revisions.

--- a/src/wasabiloom/registry/RegistryCache.cpp
+++ b/src/wasabiloom/registry/RegistryCache.cpp
@@ -129,10 +129,8 @@
 RegistryCache::ApplyZone(const Fact& aFact, base::Instant aNow)
 {
   ZoneRecord& zone = m_zones[aFact.m_name];
-  const bool isKeptByPeer =
-    aFact.m_revision.m_epoch < zone.m_revision.m_epoch && m_epoch.Keeps(aNow) &&
-    m_epoch.MayBeRestored(zone.m_revision);
-  if (isKeptByPeer) {
+  // Another host kept the state of an earlier epoch.
+  if (m_epoch.Keeps(aFact.m_revision, zone.m_revision, aNow)) {
     const bool isOut = !std::holds_alternative<Removed>(aFact.m_content);
     if (isOut == zone.m_out) {
       return FactOutcome::Unchanged;
@@ -211,10 +209,9 @@
                      const RegistryRevision& aRevision,
                      base::Instant aNow) const
 {
-  const bool isOfRestoredState = m_epoch.Keeps(aNow) &&
-                                 aZone.m_revision != RegistryRevision{} &&
-                                 aZone.m_revision.m_epoch < aRevision.m_epoch &&
-                                 m_epoch.MayBeRestored(aRevision);
+  const bool isOfRestoredState =
+    aZone.m_revision != RegistryRevision{} &&
+    m_epoch.Keeps(aZone.m_revision, aRevision, aNow);
   // The restored state holds every change that is older than kKeptFor. An entry
   // for a zone that has been in service for longer is a new one.
   return isOfRestoredState && (aZone.m_out || aNow - aZone.m_since <= kKeptFor);
--- a/src/wasabiloom/registry/Revision.h
+++ b/src/wasabiloom/registry/Revision.h
@@ -84,6 +84,16 @@
     return Epoch() > 0 && aNow - m_since <= kKeptFor;
   }
 
+  /// Whether a value of an earlier epoch, known at `aEarlier`, is kept in spite
+  /// of the one at `aRestored`, which may be of the restored state.
+  bool Keeps(const RegistryRevision& aEarlier,
+             const RegistryRevision& aRestored,
+             base::Instant aNow) const
+  {
+    return aEarlier.m_epoch < aRestored.m_epoch && Keeps(aNow) &&
+           MayBeRestored(aRestored);
+  }
+
   /// Whether servers that the restored state lacks may still register again.
   bool AwaitsServers(base::Instant aNow) const
   {
--- a/src/wasabiloom/registry/ServerRecords.cpp
+++ b/src/wasabiloom/registry/ServerRecords.cpp
@@ -68,10 +68,8 @@
   const auto known = m_byId.find(aFact.m_name);
   ServerRecord* belief = known == m_byId.end() ? nullptr : known->second;
   if (belief != nullptr && aFact.m_revision <= belief->m_revision) {
-    const bool isKeptByPeer =
-      aFact.m_revision.m_epoch < belief->m_revision.m_epoch &&
-      m_epoch.Keeps(aNow) && m_epoch.MayBeRestored(belief->m_revision);
-    if (isKeptByPeer) {
+    // Another host kept the entry of an earlier epoch.
+    if (m_epoch.Keeps(aFact.m_revision, belief->m_revision, aNow)) {
       return ApplyKept(aFact, *belief, aNow);
     }
     return aFact.m_revision == belief->m_revision ? FactOutcome::Unchanged
@@ -89,11 +87,8 @@
                           base::Instant aNow) const
 {
   const auto* server = std::get_if<Server>(&aFact.m_content);
-  const bool isOfRestoredState =
-    server != nullptr && m_epoch.Keeps(aNow) &&
-    aKnown.m_revision.m_epoch < aFact.m_revision.m_epoch &&
-    m_epoch.MayBeRestored(aFact.m_revision);
-  if (!isOfRestoredState) {
+  if (server == nullptr ||
+      !m_epoch.Keeps(aKnown.m_revision, aFact.m_revision, aNow)) {
     return false;
   }
   if (server->m_startId != aKnown.m_server.m_startId) {
